Replicate versioned topics between hosts by pulls over relays

Each host numbers its own changes and pullers keep a cursor, so that a pull without news has a constant size. Two relays per availability zone bound the fan-out. Answers carry the age of the leader's topics, which adds up along the chain of pulls and never needs two clocks to be compared.

The tests cover a lost relay, a healed and a restarted host and the bound on the age, on a virtual clock with twelve hosts in three zones.

--- a/internal/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/internal/peer/peerpb/peerpbconnect/peer.connect.go
@@ -51,7 +51,7 @@
 	Promise(context.Context, *connect.Request[peerpb.PromiseRequest]) (*connect.Response[peerpb.PromiseResponse], error)
 	// Seal makes a witness refuse requests under older witness records.
 	Seal(context.Context, *connect.Request[peerpb.SealRequest]) (*connect.Response[peerpb.SealResponse], error)
-	// Sync returns topics that are newer than those the caller knows. It waits
+	// Sync returns the topics that changed after the caller's cursor. It waits
 	// up to wait_millis if there is none.
 	Sync(context.Context, *connect.Request[peerpb.SyncRequest]) (*connect.Response[peerpb.SyncResponse], error)
 	// Reserve claims an idempotency key at its keeper host.
@@ -131,7 +131,7 @@
 	Promise(context.Context, *connect.Request[peerpb.PromiseRequest]) (*connect.Response[peerpb.PromiseResponse], error)
 	// Seal makes a witness refuse requests under older witness records.
 	Seal(context.Context, *connect.Request[peerpb.SealRequest]) (*connect.Response[peerpb.SealResponse], error)
-	// Sync returns topics that are newer than those the caller knows. It waits
+	// Sync returns the topics that changed after the caller's cursor. It waits
 	// up to wait_millis if there is none.
 	Sync(context.Context, *connect.Request[peerpb.SyncRequest]) (*connect.Response[peerpb.SyncResponse], error)
 	// Reserve claims an idempotency key at its keeper host.
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"github.com/cassiasill/cassiasill/internal/peer/peerpb"
+	"github.com/cassiasill/cassiasill/internal/peer/peerpb/peerpbconnect"
+)
+
+// Witness answers requests for leadership promises.
+type Witness interface {
+	Promise(ctx context.Context, request *peerpb.PromiseRequest) (*peerpb.PromiseResponse, error)
+	Seal(ctx context.Context, request *peerpb.SealRequest) (*peerpb.SealResponse, error)
+}
+
+// Syncer answers pulls of topics.
+type Syncer interface {
+	Sync(ctx context.Context, request *peerpb.SyncRequest) (*peerpb.SyncResponse, error)
+}
+
+// Keeper answers claims of idempotency keys.
+type Keeper interface {
+	Reserve(ctx context.Context, request *peerpb.ReserveRequest) (*peerpb.ReserveResponse, error)
+}
+
+// maxMessageBytes bounds a message; the largest is the answer to the first
+// pull of a restarted host.
+const maxMessageBytes = 64 << 20
+
+// handler implements connect's interface over the three parts.
+type handler struct {
+	witness Witness
+	syncer  Syncer
+	keeper  Keeper
+}
+
+// NewHandler returns the path and the handler of the peer service.
+func NewHandler(witness Witness, syncer Syncer, keeper Keeper) (string, http.Handler) {
+	h := handler{witness: witness, syncer: syncer, keeper: keeper}
+	return peerpbconnect.NewPeerServiceHandler(h, connect.WithReadMaxBytes(maxMessageBytes))
+}
+
+func (h handler) Promise(ctx context.Context, r *connect.Request[peerpb.PromiseRequest]) (*connect.Response[peerpb.PromiseResponse], error) {
+	return answer(ctx, r, h.witness.Promise)
+}
+
+func (h handler) Seal(ctx context.Context, r *connect.Request[peerpb.SealRequest]) (*connect.Response[peerpb.SealResponse], error) {
+	return answer(ctx, r, h.witness.Seal)
+}
+
+func (h handler) Sync(ctx context.Context, r *connect.Request[peerpb.SyncRequest]) (*connect.Response[peerpb.SyncResponse], error) {
+	return answer(ctx, r, h.syncer.Sync)
+}
+
+func (h handler) Reserve(ctx context.Context, r *connect.Request[peerpb.ReserveRequest]) (*connect.Response[peerpb.ReserveResponse], error) {
+	return answer(ctx, r, h.keeper.Reserve)
+}
+
+// answer calls method and wraps its result for connect.
+func answer[Req, Res any](ctx context.Context, request *connect.Request[Req], method func(context.Context, *Req) (*Res, error)) (*connect.Response[Res], error) {
+	response, err := method(ctx, request.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(response), nil
+}
--- a/internal/peersync/peersync.go
+++ b/internal/peersync/peersync.go
@@ -1,11 +1,10 @@
-// Package peersync replicates versioned topics between hosts.
-//
-// The newest version of a topic wins and a host never goes back to an older
-// one. A subscriber may skip versions that were replaced before it looked, and
-// always sees the newest in the end.
 package peersync
 
-import "github.com/cassiasill/cassiasill/internal/topology"
+import (
+	"time"
+
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
 
 // Topic is one named, versioned state.
 type Topic struct {
@@ -27,3 +26,15 @@
 	// whose name has the prefix.
 	Changed(prefix string) <-chan struct{}
 }
+
+// PublishOwn publishes payload as the next version of a topic that only this
+// host writes. After a restart the version continues above what peers still
+// know, so that they do not ignore it as old.
+func PublishOwn(bus Bus, name string, now time.Time, payload []byte) {
+	known, _ := bus.Get(name)
+	version := topology.Version{Term: topology.NextTerm(0, now), Sequence: 1}
+	if !version.Newer(known.Version) {
+		version = topology.Version{Term: known.Version.Term, Sequence: known.Version.Sequence + 1}
+	}
+	bus.Publish(Topic{Name: name, Version: version, Payload: payload})
+}
--- /dev/null
+++ b/internal/peersync/replicator_test.go
@@ -0,0 +1,183 @@
+package peersync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cassiasill/cassiasill/internal/peer/peerpb"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+const hopLatency = 1500 * time.Microsecond
+
+// fleet connects replicators in memory; cut hosts neither send nor answer.
+type fleet struct {
+	mu    sync.Mutex
+	hosts []topology.Host
+	nodes map[topology.HostName]*Replicator
+	cut   map[topology.HostName]bool
+}
+
+type link struct {
+	fleet *fleet
+	from  topology.HostName
+}
+
+func (l link) Sync(ctx context.Context, host topology.Host, request *peerpb.SyncRequest) (*peerpb.SyncResponse, error) {
+	sleep(ctx, hopLatency)
+	l.fleet.mu.Lock()
+	node, broken := l.fleet.nodes[host.Name], l.fleet.cut[host.Name] || l.fleet.cut[l.from]
+	l.fleet.mu.Unlock()
+	if broken {
+		<-ctx.Done()
+		return nil, errors.New("cut off")
+	}
+	response, err := node.Sync(ctx, request)
+	sleep(ctx, hopLatency)
+	return response, err
+}
+
+func (f *fleet) add(ctx context.Context, group *conc.WaitGroup, host topology.Host, wait time.Duration) *Replicator {
+	node := NewReplicator(Options{
+		Self: host, Hosts: func() []topology.Host { return f.hosts }, Wait: wait,
+		Puller: link{f, host.Name}, Log: zap.NewNop(),
+	})
+	f.mu.Lock()
+	f.nodes[host.Name] = node
+	f.mu.Unlock()
+	group.Go(func() { _ = node.Run(ctx) })
+	return node
+}
+
+// withFleet runs test with n hosts in three availability zones.
+func withFleet(t *testing.T, n int, wait time.Duration, test func(ctx context.Context, f *fleet, group *conc.WaitGroup)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{nodes: make(map[topology.HostName]*Replicator), cut: make(map[topology.HostName]bool)}
+		for i := range n {
+			zone := topology.AvailabilityZone(fmt.Sprintf("zone-%d", i%3))
+			f.hosts = append(f.hosts, topology.Host{Name: topology.HostName(fmt.Sprintf("host-%02d", i)), AvailabilityZone: zone})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		for _, h := range f.hosts {
+			f.add(ctx, &group, h, wait)
+		}
+		time.Sleep(time.Second)
+		test(ctx, f, &group)
+		cancel()
+		group.Wait()
+	})
+}
+
+func (f *fleet) setCut(name topology.HostName, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[name] = cut
+}
+
+// spread publishes at one host and returns how long the last live host took.
+func (f *fleet) spread(t *testing.T, from topology.HostName, sequence uint64) time.Duration {
+	t.Helper()
+	start := time.Now()
+	f.nodes[from].Publish(Topic{Name: "routes/a", Version: topology.Version{Term: 1, Sequence: sequence}})
+	for {
+		missing := 0
+		for name, node := range f.nodes {
+			got, _ := node.Get("routes/a")
+			if got.Version.Sequence < sequence && !f.cut[name] {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return time.Since(start)
+		}
+		if time.Since(start) > 5*time.Second {
+			t.Fatalf("%d hosts lack the topic after 5 s", missing)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a topic that misses hosts, is late for the 200 ms that the
+// time budget gives publication, or waits for a lost relay.
+func TestTopicReachesEveryHostAlsoWithoutRelays(t *testing.T) {
+	withFleet(t, 12, time.Second, func(_ context.Context, f *fleet, _ *conc.WaitGroup) {
+		assert.Assert(t, f.spread(t, "host-07", 1) <= 200*time.Millisecond)
+		for _, relay := range Relays(f.hosts, "zone-0") {
+			f.setCut(relay.Name, true)
+		}
+		assert.Assert(t, f.spread(t, "host-07", 2) <= 5*time.Second)
+	})
+}
+
+// Guards against a host that goes back to an older version after it was cut
+// off, and against one that never catches up.
+func TestHealedHostCatchesUpAndNeverGoesBack(t *testing.T) {
+	withFleet(t, 6, time.Second, func(_ context.Context, f *fleet, _ *conc.WaitGroup) {
+		f.setCut("host-05", true)
+		f.spread(t, "host-01", 3)
+		f.nodes["host-05"].Publish(Topic{Name: "routes/a", Version: topology.Version{Term: 1, Sequence: 2}})
+		f.setCut("host-05", false)
+		f.spread(t, "host-01", 4)
+		for name, node := range f.nodes {
+			got, _ := node.Get("routes/a")
+			assert.Equal(t, got.Version.Sequence, uint64(4), string(name))
+		}
+	})
+}
+
+// Guards against a restarted host, without a disk, that learns nothing of what
+// its peers already know, or whose own topic is ignored as old.
+func TestRestartedHostLearnsEverythingAndContinuesItsVersion(t *testing.T) {
+	withFleet(t, 6, time.Second, func(ctx context.Context, f *fleet, group *conc.WaitGroup) {
+		f.spread(t, "host-01", 9)
+		ahead := topology.Version{Term: topology.NextTerm(0, time.Now().Add(time.Hour)), Sequence: 5}
+		f.nodes["host-02"].Publish(Topic{Name: "load/host-02", Version: ahead})
+		time.Sleep(time.Second)
+		restarted := f.add(ctx, group, f.hosts[2], time.Second)
+		time.Sleep(time.Second)
+		got, _ := restarted.Get("routes/a")
+		assert.Equal(t, got.Version.Sequence, uint64(9))
+		PublishOwn(restarted, "load/host-02", time.Now(), []byte("new"))
+		time.Sleep(time.Second)
+		seen, _ := f.nodes["host-04"].Get("load/host-02")
+		assert.Equal(t, string(seen.Payload), "new")
+	})
+}
+
+// Guards against a host that believes its copy of the leader's routes to be
+// younger than it is, and against an age that outgrows the validity of a
+// snapshot while all is well.
+func TestLeaderAgeIsNeverTooYoungAndStaysBounded(t *testing.T) {
+	withFleet(t, 12, 100*time.Millisecond, func(_ context.Context, f *fleet, _ *conc.WaitGroup) {
+		leader := f.nodes["host-03"]
+		leader.SetLeader(7, true)
+		time.Sleep(time.Second)
+		published := time.Now()
+		leader.Publish(Topic{Name: "routes/a", Version: topology.Version{Term: 7, Sequence: 1}})
+		for range 2000 {
+			for name, node := range f.nodes {
+				age, ok := node.LeaderAge(time.Now())
+				assert.Assert(t, ok && time.Since(age.Since) <= topology.SnapshotValidity, "%s: age %s", name, time.Since(age.Since))
+				_, has := node.Get("routes/a")
+				assert.Assert(t, has || !age.Since.After(published), "%s claims a current copy without the topic", name)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		f.setCut("host-03", true)
+		time.Sleep(topology.SnapshotValidity + 300*time.Millisecond)
+		for name, node := range f.nodes {
+			age, _ := node.LeaderAge(time.Now())
+			assert.Assert(t, name == "host-03" || time.Since(age.Since) > topology.SnapshotValidity, "%s still believes its copy current", name)
+		}
+	})
+}
