--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,49 @@
+// Package telemetry makes the logger and the metrics of a process.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Format is how log lines are written.
+type Format string
+
+// The log formats.
+const (
+	FormatJSON    Format = "json"
+	FormatConsole Format = "console"
+)
+
+// NewLogger returns a logger that writes lines of at least the level to out.
+func NewLogger(out io.Writer, level string, format Format) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, &LogError{Setting: "level", Value: level}
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	var encoder zapcore.Encoder
+	switch format {
+	case FormatJSON:
+		encoder = zapcore.NewJSONEncoder(config)
+	case FormatConsole:
+		encoder = zapcore.NewConsoleEncoder(config)
+	default:
+		return nil, &LogError{Setting: "format", Value: string(format)}
+	}
+	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(out)), parsed)), nil
+}
+
+// LogError is a log setting with a wrong value.
+type LogError struct {
+	Setting string
+	Value   string
+}
+
+// Error names the setting and its value.
+func (e *LogError) Error() string { return fmt.Sprintf("log %s: unknown value %q", e.Setting, e.Value) }
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,39 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Metrics collects the instruments of one host and serves them to Prometheus.
+type Metrics struct {
+	provider *sdkmetric.MeterProvider
+	registry *prometheus.Registry
+}
+
+// NewMetrics returns an empty set of instruments.
+func NewMetrics() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo())
+	if err != nil {
+		return nil, err
+	}
+	return &Metrics{provider: sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)), registry: registry}, nil
+}
+
+// Meter returns the meter of one part.
+func (m *Metrics) Meter(part string) metric.Meter { return m.provider.Meter("cassiasill/" + part) }
+
+// Handler serves the metrics in Prometheus' text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Shutdown ends the collection.
+func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
