--- /dev/null
+++ b/internal/netfault/netfault.go
@@ -0,0 +1,247 @@
+// Package netfault wraps the network of one in-process host or stand-in so that
+// it can be paused, cut off, killed or given latency. A paused host's reads and
+// writes block and go on afterwards, as those of a stopped process do; a cut
+// host's block too, but its own timers and deadlines fire.
+package netfault
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// errKilled is returned by operations on a killed network.
+var errKilled = errors.New("netfault: the process is dead")
+
+// Network is the network as one process sees it.
+type Network struct {
+	// latency returns the one-way latency to a remote address; nil means none.
+	latency func(remote string) time.Duration
+
+	mu      sync.Mutex
+	open    chan struct{} // closed while traffic may pass
+	blocked bool
+	killed  bool
+	conns   map[*conn]struct{}
+	listens map[net.Listener]struct{}
+}
+
+// New returns a working network.
+func New(latency func(remote string) time.Duration) *Network {
+	open := make(chan struct{})
+	close(open)
+	return &Network{latency: latency, open: open, conns: make(map[*conn]struct{}), listens: make(map[net.Listener]struct{})}
+}
+
+// Block holds back all traffic until Unblock.
+func (n *Network) Block() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.blocked {
+		n.blocked = true
+		n.open = make(chan struct{})
+	}
+}
+
+// Unblock lets traffic pass again, also what was held back.
+func (n *Network) Unblock() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.blocked {
+		n.blocked = false
+		close(n.open)
+	}
+}
+
+// Kill closes every connection and listener at once, as the loss of a process
+// does.
+func (n *Network) Kill() {
+	n.mu.Lock()
+	n.killed = true
+	conns, listens := n.conns, n.listens
+	n.conns, n.listens = make(map[*conn]struct{}), make(map[net.Listener]struct{})
+	n.mu.Unlock()
+	for l := range listens {
+		_ = l.Close()
+	}
+	for c := range conns {
+		// Without lingering the peer sees a reset, as after a crash.
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Conn.Close()
+	}
+	n.Unblock()
+}
+
+// Listen listens on a TCP address.
+func (n *Network) Listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.killed {
+		_ = l.Close()
+		return nil, errKilled
+	}
+	n.listens[l] = struct{}{}
+	return &listener{Listener: l, network: n}, nil
+}
+
+// Dial connects to a TCP address.
+func (n *Network) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if err := n.wait(ctx); err != nil {
+		return nil, err
+	}
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return n.wrap(c)
+}
+
+func (n *Network) wrap(c net.Conn) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.killed {
+		_ = c.Close()
+		return nil, errKilled
+	}
+	wrapped := &conn{Conn: c, network: n, closed: make(chan struct{})}
+	if n.latency != nil {
+		wrapped.latency = n.latency(c.RemoteAddr().String())
+	}
+	n.conns[wrapped] = struct{}{}
+	return wrapped, nil
+}
+
+// wait returns when traffic may pass, or the context's error if it ends first.
+func (n *Network) wait(ctx context.Context) error {
+	n.mu.Lock()
+	open, killed := n.open, n.killed
+	n.mu.Unlock()
+	if killed {
+		return errKilled
+	}
+	select {
+	case <-open:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+type listener struct {
+	net.Listener
+	network *Network
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.network.wrap(c)
+}
+
+// conn holds back reads and writes while its network is blocked.
+type conn struct {
+	net.Conn
+	network *Network
+	latency time.Duration
+
+	closeOnce sync.Once
+	closed    chan struct{}
+
+	mu                          sync.Mutex
+	readDeadline, writeDeadline time.Time
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if waitErr := c.hold(c.deadline(false)); waitErr != nil && n == 0 {
+		return 0, waitErr
+	}
+	return n, err
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if c.latency > 0 {
+		time.Sleep(c.latency)
+	}
+	if err := c.hold(c.deadline(true)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// hold waits until traffic may pass, the deadline or the connection's end.
+func (c *conn) hold(deadline time.Time) error {
+	c.network.mu.Lock()
+	open := c.network.open
+	c.network.mu.Unlock()
+	select {
+	case <-open:
+		return nil
+	default:
+	}
+	var expired <-chan time.Time
+	if !deadline.IsZero() {
+		timer := time.NewTimer(time.Until(deadline))
+		defer timer.Stop()
+		expired = timer.C
+	}
+	select {
+	case <-open:
+		return nil
+	case <-c.closed:
+		return net.ErrClosed
+	case <-expired:
+		return os.ErrDeadlineExceeded
+	}
+}
+
+func (c *conn) deadline(write bool) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if write {
+		return c.writeDeadline
+	}
+	return c.readDeadline
+}
+
+func (c *conn) SetDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.readDeadline, c.writeDeadline = t, t
+	c.mu.Unlock()
+	return c.Conn.SetDeadline(t)
+}
+
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.readDeadline = t
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.writeDeadline = t
+	c.mu.Unlock()
+	return c.Conn.SetWriteDeadline(t)
+}
+
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	c.network.mu.Lock()
+	delete(c.network.conns, c)
+	c.network.mu.Unlock()
+	return c.Conn.Close()
+}
