--- /dev/null
+++ b/internal/store/gateway/watch.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/cassiasill/cassiasill/internal/store"
+	"github.com/cassiasill/cassiasill/internal/store/gateway/etcdjson"
+)
+
+type watch struct {
+	batches chan store.WatchBatch
+	err     error
+	group   conc.WaitGroup
+}
+
+func (w *watch) Batches() <-chan store.WatchBatch { return w.batches }
+
+// Err is read after batches is closed, which orders it after the write.
+func (w *watch) Err() error { return w.err }
+
+// Watch delivers changes from revision from on; zero means from now on. It ends
+// with KindUnavailable when the connection breaks: the caller resumes.
+func (s *Store) Watch(ctx context.Context, prefix string, from int64) store.Watch {
+	w := &watch{batches: make(chan store.WatchBatch)}
+	w.group.Go(func() {
+		defer close(w.batches)
+		w.err = s.deliver(ctx, w.batches, prefix, from)
+	})
+	return w
+}
+
+func (s *Store) deliver(ctx context.Context, out chan<- store.WatchBatch, prefix string, from int64) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	op := read("watch")
+	stream, failure := s.openWatch(ctx, op, prefix, from)
+	if failure != nil {
+		return failure
+	}
+	defer func() { _ = stream.Close() }()
+	for decoder := json.NewDecoder(stream); ; {
+		var message etcdjson.WatchResponse
+		if err := decoder.Decode(&message); err != nil {
+			return op.unavailable(err)
+		}
+		if message.Error != nil {
+			return op.classify(*message.Error)
+		}
+		if message.Result == nil {
+			return op.unavailable(errors.New("empty message"))
+		}
+		batch, err := batchOf(op, message.Result)
+		if err != nil {
+			return err
+		}
+		if len(batch.Events) == 0 {
+			continue
+		}
+		select {
+		case out <- batch:
+		case <-ctx.Done():
+			return op.unavailable(ctx.Err())
+		}
+	}
+}
+
+func (s *Store) openWatch(ctx context.Context, op operation, prefix string, from int64) (io.ReadCloser, *store.Error) {
+	key, end := etcdjson.RangeOf(prefix)
+	body, err := json.Marshal(etcdjson.WatchRequest{Create: &etcdjson.WatchCreate{Key: key, RangeEnd: end, StartRevision: from}})
+	if err != nil {
+		return nil, op.unavailable(err)
+	}
+	failure := op.unavailable(errors.New("no endpoint"))
+	first := s.preferred.Load()
+	for i := range s.endpoints {
+		n := (int(first) + i) % len(s.endpoints)
+		answer, sendFailure := s.send(ctx, op, s.endpoints[n]+etcdjson.PathWatch, body)
+		if sendFailure == nil {
+			s.preferred.Store(int64(n))
+			return answer.Body, nil
+		}
+		if failure = sendFailure; ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, failure
+}
+
+// batchOf turns one message into a batch. Events of one revision come in one
+// message, so that the batch is complete up to its last event's revision.
+func batchOf(op operation, result *etcdjson.WatchResult) (store.WatchBatch, error) {
+	if result.CompactRevision > 0 {
+		return store.WatchBatch{}, &store.Error{Kind: store.KindCompacted, Op: op.name, Err: fmt.Errorf("history is kept from revision %d on", result.CompactRevision)}
+	}
+	if result.Canceled {
+		return store.WatchBatch{}, op.unavailable(fmt.Errorf("watch canceled: %s", result.CancelReason))
+	}
+	var batch store.WatchBatch
+	for _, event := range result.Events {
+		kv := fromWire(event.KV)
+		batch.Events = append(batch.Events, store.Event{KeyValue: kv, Deleted: event.Type == "DELETE"})
+		batch.Revision = max(batch.Revision, kv.ModRevision)
+	}
+	return batch, nil
+}
