Add request forwarding and the retry budget

The proxy handler forwards requests over one connection pool per server, classifies failures by what the upstream can have seen, and answers errors as problem+json. Quarantine and idempotency are placeholders so far.

--- /dev/null
+++ b/internal/idempotency/idempotency.go
@@ -0,0 +1,2 @@
+package idempotency
+type Client struct{}
--- /dev/null
+++ b/internal/proxy/answer.go
@@ -0,0 +1,191 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cassiasill/cassiasill/internal/admission"
+	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/routing"
+)
+
+const (
+	// headBytes is the size of the buffer through which answers stream. An
+	// answer that fits is checked as a whole before any of it is passed on.
+	headBytes = 32 << 10
+	// refusalBytes is how much of a refusal's body is read to keep its
+	// connection in use.
+	refusalBytes = 4 << 10
+)
+
+// answer is an upstream's checked answer whose body is being read.
+type answer struct {
+	response *http.Response
+	exchange *exchange
+	cancel   context.CancelFunc
+	ticket   admission.Ticket
+	owner    routing.Owner
+	upstream *upstream
+	latency  time.Duration
+	buffer   *[headBytes]byte
+	head     []byte // the part of the body that was read
+	whole    bool   // head is the whole body
+}
+
+var buffers = sync.Pool{New: func() any { return new([headBytes]byte) }}
+
+// end releases what the answer holds. Its connection is closed unless the
+// answer was read to its end.
+func (a *answer) end(outcome admission.Outcome) {
+	a.cancel()
+	a.response.Body.Close()
+	if a.buffer != nil {
+		buffers.Put(a.buffer)
+		a.buffer = nil
+	}
+	a.ticket.Done(outcome, a.latency)
+}
+
+// send makes one attempt. It returns an answer whose beginning has been read
+// and checked, or what failed.
+func (q *request) send(ticket admission.Ticket, owner routing.Owner, p *part) (*answer, *failure) {
+	u := q.service.upstreams[ticket.Server()]
+	if u == nil {
+		return nil, &failure{seen: SeenNotConnected, kind: apierror.KindNoUpstream, err: errors.New("the server is not in the settings")}
+	}
+	ctx, cancel := context.WithCancel(q.ctx)
+	x := &exchange{abort: cancel}
+	body := q.body.open(q)
+	response, err := u.transport.RoundTrip(q.outgoing(x.trace(ctx), u, owner, body, p))
+	if err != nil {
+		cancel()
+		body.stop()
+		return nil, failed(q.ctx, x, err, q.body.failure())
+	}
+	a := &answer{response: response, exchange: x, cancel: cancel, ticket: ticket, owner: owner, upstream: u}
+	if f := q.inspect(a, p); f != nil {
+		cancel()
+		body.stop()
+		response.Body.Close()
+		if a.buffer != nil {
+			buffers.Put(a.buffer)
+		}
+		return nil, f
+	}
+	return a, nil
+}
+
+// outgoing builds the request for an upstream. GetBody stays nil, so that
+// net/http never sends a body twice on its own.
+func (q *request) outgoing(ctx context.Context, u *upstream, owner routing.Owner, body *attemptBody, p *part) *http.Request {
+	header := make(http.Header, len(q.r.Header)+5)
+	copyHeaders(header, q.r.Header)
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	header[apierror.HeaderRequestID] = []string{q.id}
+	header[headerCaller] = []string{string(q.caller)}
+	header[headerDeadline] = []string{strconv.FormatInt(max(time.Until(q.deadline).Milliseconds(), 1), 10)}
+	if q.service.Keyed {
+		header[headerFencingToken] = []string{owner.Token.String()}
+	}
+	if p != nil {
+		p.ask(header)
+	}
+	out := &http.Request{
+		Method: q.r.Method,
+		URL: &url.URL{
+			Scheme: "http", Host: u.server.Address, Path: q.r.URL.Path, RawPath: q.r.URL.RawPath,
+			RawQuery: q.r.URL.RawQuery, ForceQuery: q.r.URL.ForceQuery,
+		},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header, Host: u.server.Address,
+	}
+	if body != nil {
+		out.Body, out.ContentLength = body, q.body.length
+	}
+	return out.WithContext(ctx)
+}
+
+// inspect checks that the answer belongs to the request, classifies refusals
+// and reads the beginning of the body.
+func (q *request) inspect(a *answer, p *part) *failure {
+	r := a.response
+	if ids := r.Header[apierror.HeaderRequestID]; len(ids) != 1 || ids[0] != q.id {
+		return invalid("the answer is not to this request")
+	}
+	executed := r.Header[apierror.HeaderExecuted]
+	switch {
+	case r.StatusCode == http.StatusMisdirectedRequest:
+		discard(r)
+		a.exchange.seal()
+		return &failure{seen: SeenRefused, kind: apierror.KindNotOwner, err: errors.New("refused as not the owner")}
+	case r.StatusCode == http.StatusServiceUnavailable && len(executed) == 1 && executed[0] == string(apierror.ExecutedNo):
+		discard(r)
+		a.exchange.seal()
+		return &failure{seen: SeenShed, kind: apierror.KindOverloaded, err: errors.New("shed for load")}
+	case r.StatusCode < http.StatusOK:
+		return invalid("status %d cannot be passed on", r.StatusCode)
+	case r.ContentLength < 0 && len(r.TransferEncoding) == 0 && hasBody(q.r.Method, r.StatusCode):
+		return invalid("the answer's end is not marked, so its loss could not be noticed")
+	}
+	if p != nil {
+		if err := p.matches(r); err != nil {
+			return invalid("the rest does not continue the answer: %w", err)
+		}
+	}
+	return q.readHead(a)
+}
+
+// readHead reads a small answer whole, and of others what has arrived.
+func (q *request) readHead(a *answer) *failure {
+	a.buffer = buffers.Get().(*[headBytes]byte)
+	length := a.response.ContentLength
+	if !hasBody(q.r.Method, a.response.StatusCode) {
+		length = 0
+	}
+	n, err := 0, error(nil)
+	for err == nil && n < headBytes {
+		var k int
+		k, err = a.response.Body.Read(a.buffer[n:])
+		n += k
+		if length < 0 || length > headBytes {
+			break
+		}
+	}
+	a.head = a.buffer[:n]
+	switch {
+	case err == io.EOF:
+		a.whole = true
+		if length >= 0 && a.exchange.excess(length) > 0 {
+			return invalid("the answer is longer than its Content-Length")
+		}
+	case err != nil:
+		f := failed(q.ctx, a.exchange, err, q.body.failure())
+		f.seen = SeenUnknown
+		return f
+	}
+	return nil
+}
+
+func invalid(format string, args ...any) *failure {
+	return &failure{seen: SeenUnknown, kind: apierror.KindUpstreamAnswer, err: fmt.Errorf(format, args...)}
+}
+
+// discard reads a short body to its end, which keeps the connection in use.
+func discard(r *http.Response) {
+	if r.ContentLength >= 0 && r.ContentLength <= refusalBytes {
+		_, _ = io.Copy(io.Discard, r.Body) // a failure closes the connection
+	}
+}
+
+// hasBody reports whether an answer can have a body.
+func hasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/internal/proxy/fakes_test.go
@@ -0,0 +1,302 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cassiasill/cassiasill/internal/admission"
+	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/routing"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// routes is a resolver with one owner for every key.
+type routes struct {
+	mu      sync.Mutex
+	owner   routing.Owner
+	changed chan struct{}
+}
+
+func newRoutes(owner routing.Owner) *routes {
+	return &routes{owner: owner, changed: make(chan struct{})}
+}
+
+func (r *routes) Owner(topology.ServiceName, topology.Hash) routing.Owner {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.owner
+}
+
+func (r *routes) Changed(topology.ServiceName) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+func (r *routes) set(owner routing.Owner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.owner = owner
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// admitter admits to the wanted server or the first that is not excluded.
+type admitter struct {
+	servers []topology.ServerName
+	before  func() // called before each decision
+
+	mu       sync.Mutex
+	open     int
+	outcomes []admission.Outcome
+}
+
+func (a *admitter) Admit(ctx context.Context, r admission.Request, exclude []topology.ServerName) (admission.Ticket, error) {
+	if a.before != nil {
+		a.before()
+	}
+	if ctx.Err() != nil {
+		return nil, apierror.New(apierror.KindCanceled, "canceled")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.servers {
+		if (r.Server == "" || r.Server == s) && !slices.Contains(exclude, s) {
+			a.open++
+			return &ticket{a, s}, nil
+		}
+	}
+	return nil, apierror.New(apierror.KindNoUpstream, "none left")
+}
+
+type ticket struct {
+	admitter *admitter
+	server   topology.ServerName
+}
+
+func (t *ticket) Server() topology.ServerName { return t.server }
+func (t *ticket) Done(o admission.Outcome, _ time.Duration) {
+	t.admitter.mu.Lock()
+	defer t.admitter.mu.Unlock()
+	t.admitter.open--
+	t.admitter.outcomes = append(t.admitter.outcomes, o)
+}
+
+// step scripts what a fake upstream does with one request or connection.
+type step func(c *call)
+
+// call is one connection on which a fake upstream has to act.
+type call struct {
+	up   *fakeUpstream
+	conn net.Conn
+	in   *bufio.Reader
+	r    *http.Request
+	body string
+}
+
+// read parses the next request and counts it as executed.
+func (c *call) read() bool {
+	r, err := http.ReadRequest(c.in)
+	if err != nil {
+		return false
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return false
+	}
+	c.r, c.body = r, string(body)
+	c.up.mu.Lock()
+	defer c.up.mu.Unlock()
+	c.up.calls = append(c.up.calls, c)
+	return true
+}
+
+// reset breaks the connection as a crashing process does.
+func (c *call) reset() {
+	_ = c.conn.(*net.TCPConn).SetLinger(0)
+	c.conn.Close()
+}
+
+// fakeUpstream acts out one step for each request; the last one repeats.
+type fakeUpstream struct {
+	listener net.Listener
+	mu       sync.Mutex
+	steps    []step
+	next     int
+	accepted int
+	conns    []net.Conn
+	calls    []*call
+}
+
+func newFake(t testing.TB, steps ...step) *fakeUpstream {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := &fakeUpstream{listener: listener, steps: steps}
+	var done sync.WaitGroup
+	done.Go(func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			f.mu.Lock()
+			f.accepted++
+			f.conns = append(f.conns, c)
+			f.mu.Unlock()
+			done.Go(func() { f.serve(c) })
+		}
+	})
+	t.Cleanup(func() { f.crash(); done.Wait() })
+	return f
+}
+
+// crash closes the listener and breaks every connection at once.
+func (f *fakeUpstream) crash() {
+	f.listener.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+func (f *fakeUpstream) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		f.mu.Lock()
+		s := f.steps[min(f.next, len(f.steps)-1)]
+		f.next++
+		f.mu.Unlock()
+		c := &call{up: f, conn: conn, in: in}
+		if s(c); c.r == nil {
+			return
+		}
+	}
+}
+
+// executions returns how many whole requests the upstream has read.
+func (f *fakeUpstream) executions() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.calls)
+}
+
+func (f *fakeUpstream) last() *call {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls[len(f.calls)-1]
+}
+
+// raw reads a request and answers with the text; ID stands for its id.
+func raw(text string) step {
+	return func(c *call) {
+		if c.read() {
+			text := strings.ReplaceAll(text, "ID", "Cassiasill-Request-Id: "+c.r.Header.Get("Cassiasill-Request-Id"))
+			_, _ = io.WriteString(c.conn, strings.ReplaceAll(text, "\n", "\r\n"))
+		}
+	}
+}
+
+// then runs steps one after the other on the same request.
+func then(steps ...step) step {
+	return func(c *call) {
+		for _, s := range steps {
+			s(c)
+		}
+	}
+}
+
+func readOnly(c *call) { c.read() }
+func reset(c *call)    { c.reset() }
+func crash(c *call)    { c.up.crash() }
+
+// refuse rejects a request without counting it as executed.
+func refuse(text string) step {
+	return func(c *call) {
+		raw(text)(c)
+		c.up.mu.Lock()
+		defer c.up.mu.Unlock()
+		c.up.calls = c.up.calls[:len(c.up.calls)-1]
+	}
+}
+
+// readBytes reads n bytes of a request.
+func readBytes(n int64) step {
+	return func(c *call) { _, _ = io.CopyN(io.Discard, c.in, n) }
+}
+
+func ok(body string) step {
+	return raw(fmt.Sprintf("HTTP/1.1 200 OK\nID\nContent-Length: %d\n\n%s", len(body), body))
+}
+
+// harness is a handler behind a real server, with fake upstreams s0, s1, ….
+type harness struct {
+	*Handler
+	routes   *routes
+	admitter *admitter
+	server   *httptest.Server
+}
+
+func served(server topology.ServerName, sequence uint64) routing.Owner {
+	return routing.Owner{Server: server, Token: topology.Version{Term: 7, Sequence: sequence}}
+}
+
+func newHarness(t testing.TB, change func(*Options), fakes ...*fakeUpstream) *harness {
+	h := &harness{routes: newRoutes(served("s0", 1)), admitter: &admitter{}}
+	var servers []topology.Server
+	for i, f := range fakes {
+		name := topology.ServerName(fmt.Sprintf("s%d", i))
+		servers = append(servers, topology.Server{Name: name, Address: f.listener.Addr().String()})
+		h.admitter.servers = append(h.admitter.servers, name)
+	}
+	options := Options{
+		Services: []Service{
+			{Name: "keyed", Keyed: true, CallerHeader: "X-Caller", Servers: servers},
+			{Name: "free", CallerHeader: "X-Caller", Servers: servers, Routes: []Route{
+				{Methods: []string{"GET"}, Path: "/doc", Class: admission.ClassDownload, Repeatable: true},
+			}},
+		},
+		Resolver: h.routes, Admitter: h.admitter,
+	}
+	if change != nil {
+		change(&options)
+	}
+	h.Handler = New(options)
+	h.server = httptest.NewServer(h.Handler)
+	t.Cleanup(h.server.Close)
+	return h
+}
+
+// do sends a request and returns the answer with its whole body; the error is
+// that of reading the body.
+func (h *harness) do(t testing.TB, method, path string, body io.Reader, headers ...string) (*http.Response, string, error) {
+	r, err := http.NewRequest(method, h.server.URL+path, body)
+	assert.NilError(t, err)
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Add(headers[i], headers[i+1])
+	}
+	answer, err := h.server.Client().Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	return answer, string(text), err
+}
--- /dev/null
+++ b/internal/proxy/upstream.go
@@ -0,0 +1,247 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync"
+	"time"
+
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// upstream is one server with its own pool of connections.
+type upstream struct {
+	server    topology.Server
+	transport *http.Transport
+	dial      DialFunc
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	// broken counts the connections that the server broke since brokenAt.
+	broken   int
+	brokenAt time.Time
+}
+
+// dialError marks a failure to connect, which proves that nothing was sent.
+type dialError struct{ err error }
+
+func (e *dialError) Error() string { return "connect: " + e.err.Error() }
+func (e *dialError) Unwrap() error { return e.err }
+
+func newUpstream(server topology.Server, limits Limits, dial DialFunc) *upstream {
+	u := &upstream{server: server, dial: dial, conns: make(map[*conn]struct{})}
+	u.transport = &http.Transport{
+		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, limits.DialTimeout)
+			defer cancel()
+			c, err := dial(ctx, network, server.Address)
+			if err != nil {
+				return nil, &dialError{err}
+			}
+			return u.track(c), nil
+		},
+		// The answer's bytes must reach the caller as they are.
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    limits.Connections,
+		MaxConnsPerHost:        limits.Connections,
+		IdleConnTimeout:        limits.IdleTimeout,
+		MaxResponseHeaderBytes: limits.AnswerHeaderBytes,
+	}
+	return u
+}
+
+func (u *upstream) track(c net.Conn) *conn {
+	t := &conn{Conn: c, upstream: u}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.conns[t] = struct{}{}
+	return t
+}
+
+// drop forgets a connection; remote is set if the server broke it.
+func (u *upstream) drop(c *conn, remote bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if _, ok := u.conns[c]; !ok {
+		return
+	}
+	delete(u.conns, c)
+	if !remote {
+		return
+	}
+	now := time.Now()
+	if now.Sub(u.brokenAt) > crashWindow {
+		u.broken = 0
+		u.brokenAt = now
+	}
+	u.broken++
+}
+
+// conn is a connection that reports each read and write to the exchange that
+// uses it.
+type conn struct {
+	net.Conn
+	upstream *upstream
+
+	mu      sync.Mutex
+	current *exchange
+}
+
+func (c *conn) begin(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current = x
+}
+
+func (c *conn) exchange() *exchange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current
+}
+
+var errSealed = errors.New("the attempt has ended")
+
+// Write refuses to send for an attempt that has been reported as not sent.
+func (c *conn) Write(p []byte) (int, error) {
+	x := c.exchange()
+	if x != nil && !x.startWrite() {
+		return 0, errSealed
+	}
+	n, err := c.Conn.Write(p)
+	if x != nil {
+		x.endWrite(n)
+	}
+	return n, err
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		if x := c.exchange(); x != nil {
+			x.read(p[:n])
+		}
+	}
+	if err != nil {
+		c.upstream.drop(c, !errors.Is(err, net.ErrClosed))
+	}
+	return n, err
+}
+
+func (c *conn) Close() error {
+	c.upstream.drop(c, false)
+	return c.Conn.Close()
+}
+
+// exchange records what one attempt has sent and received, so that a failure
+// is classified by what the upstream can have seen.
+type exchange struct {
+	abort context.CancelFunc
+
+	mu        sync.Mutex
+	connected int  // connections obtained
+	sealed    bool // no byte may be written any more
+	writing   bool // a write is under way
+	written   int64
+	received  int64
+	matched   int   // bytes of the end-of-header mark seen so far
+	body      int64 // bytes received after the header
+	interim   bool  // a 1xx answer came first, so body counts too much
+}
+
+// trace returns ctx with hooks that bind the connection to x.
+func (x *exchange) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*conn); ok {
+				x.bind(c)
+			}
+		},
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			x.interim = true
+			return nil
+		},
+	})
+}
+
+// bind attaches x to a connection. net/http silently sends some requests again
+// when a reused connection breaks; if a byte had been written before, the
+// second sending is refused, because the first may have been executed.
+func (x *exchange) bind(c *conn) {
+	x.mu.Lock()
+	x.connected++
+	refuse := x.writing || x.written > 0
+	if refuse {
+		x.sealed = true
+	}
+	x.mu.Unlock()
+	c.begin(x)
+	if refuse {
+		x.abort()
+	}
+}
+
+func (x *exchange) startWrite() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.sealed {
+		return false
+	}
+	x.writing = true
+	return true
+}
+
+func (x *exchange) endWrite(n int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.writing = false
+	x.written += int64(n)
+}
+
+// endOfHeader separates an answer's header from its body.
+const endOfHeader = "\r\n\r\n"
+
+func (x *exchange) read(p []byte) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.received += int64(len(p))
+	for i := 0; i < len(p) && x.matched < len(endOfHeader); i++ {
+		switch {
+		case p[i] == endOfHeader[x.matched]:
+			x.matched++
+		case p[i] == '\r':
+			x.matched = 1
+		default:
+			x.matched = 0
+		}
+		if x.matched == len(endOfHeader) {
+			x.body -= int64(i + 1)
+		}
+	}
+	if x.matched == len(endOfHeader) {
+		x.body += int64(len(p))
+	}
+}
+
+// seal forbids further writes and returns what the upstream can have seen.
+func (x *exchange) seal() (connected, sent, answered bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.sealed = true
+	return x.connected > 0, x.writing || x.written > 0, x.received > 0
+}
+
+// excess returns how many bytes beyond length followed the answer's header.
+func (x *exchange) excess(length int64) int64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.interim {
+		return 0
+	}
+	return x.body - length
+}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,2 @@
+package quarantine
+type Table struct{}
