--- /dev/null
+++ b/internal/placement/successors.go
@@ -0,0 +1,159 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// successorCandidates is the number of servers compared for each successor. A
+// small fleet is compared whole; in a large one a few choices spread evenly
+// enough and keep planning linear in the number of slices.
+const successorCandidates = 24
+
+// takeover tracks the load that each server would receive.
+type takeover struct {
+	// byZone is the load that a server receives when a whole availability zone
+	// is lost, and byOwner when one server is lost.
+	byZone  map[topology.AvailabilityZone][]float64
+	byOwner map[[2]int]float64
+}
+
+// chooseSuccessors keeps valid successors and chooses the missing ones, so that
+// the load of a lost server or availability zone spreads evenly over the rest.
+func (p *planner) chooseSuccessors() {
+	ranks := [topology.MaxSuccessors]takeover{}
+	for i := range ranks {
+		ranks[i] = takeover{byZone: map[topology.AvailabilityZone][]float64{}, byOwner: map[[2]int]float64{}}
+	}
+	var open []int
+	for i := range p.slices {
+		if p.successorsValid(&p.slices[i]) {
+			for rank, name := range p.slices[i].Successors {
+				p.addTakeover(&ranks[rank], &p.slices[i], p.byName[name])
+			}
+		} else {
+			open = append(open, i)
+		}
+	}
+	// The heaviest first, because the light ones can even out the rest.
+	slices.SortStableFunc(open, func(a, b int) int { return cmp.Compare(p.slices[b].load, p.slices[a].load) })
+	for _, i := range open {
+		s := &p.slices[i]
+		before := s.Successors
+		s.Successors = nil
+		for rank := range ranks {
+			best := p.bestSuccessor(s, i, &ranks[rank])
+			if best == noServer {
+				break
+			}
+			s.Successors = append(s.Successors, p.servers[best].Name)
+			p.addTakeover(&ranks[rank], s, best)
+		}
+		if !slices.Equal(before, s.Successors) {
+			p.plan.SuccessorChanges++
+		}
+	}
+}
+
+// successorsValid reports whether all successors of s may take it over and
+// their number is the highest possible.
+func (p *planner) successorsValid(s *slice) bool {
+	if len(s.Successors) != topology.MaxSuccessors {
+		return false
+	}
+	for rank, name := range s.Successors {
+		i, ok := p.byName[name]
+		if !ok || i == s.owner || p.servers[i].capacity == 0 || !p.eligible(s.Range, i) || slices.Index(s.Successors, name) != rank {
+			return false
+		}
+		if p.sharesZone(s, i, rank) && p.hasOtherZone(s) {
+			return false
+		}
+	}
+	return true
+}
+
+// sharesZone reports whether a first successor is in the owner's availability
+// zone.
+func (p *planner) sharesZone(s *slice, i, rank int) bool {
+	return rank == 0 && s.owner != noServer && p.servers[i].AvailabilityZone == p.servers[s.owner].AvailabilityZone
+}
+
+// hasOtherZone reports whether an eligible available server lies in another
+// availability zone than the owner.
+func (p *planner) hasOtherZone(s *slice) bool {
+	return p.zones > 1 && slices.ContainsFunc(p.available, func(i int) bool {
+		return p.servers[i].AvailabilityZone != p.servers[s.owner].AvailabilityZone && p.eligible(s.Range, i)
+	})
+}
+
+// bestSuccessor returns the best next successor of s, or noServer.
+func (p *planner) bestSuccessor(s *slice, index int, t *takeover) int {
+	n := len(p.available)
+	if n == 0 {
+		return noServer
+	}
+	best, bestPenalty := noServer, 0.0
+	consider := func(i int) {
+		if i == s.owner || slices.Contains(s.Successors, p.servers[i].Name) || !p.eligible(s.Range, i) {
+			return
+		}
+		if penalty := p.successorPenalty(s, i, t); best == noServer || penalty < bestPenalty {
+			best, bestPenalty = i, penalty
+		}
+	}
+	// A stride by the golden ratio visits different servers for each slice.
+	start := int(uint64(index) * 0x9e3779b97f4a7c15 >> 33 % uint64(n))
+	for k := range min(n, successorCandidates) {
+		consider(p.available[(start+k*max(n/successorCandidates, 1))%n])
+	}
+	if best == noServer || bestPenalty >= zonePenalty {
+		for _, i := range p.available {
+			consider(i)
+		}
+	}
+	return best
+}
+
+// zonePenalty outweighs any load.
+const zonePenalty = 1e9
+
+// successorPenalty prices server i as next successor of s.
+func (p *planner) successorPenalty(s *slice, i int, t *takeover) float64 {
+	c := &p.servers[i]
+	penalty := 0.0
+	if s.owner != noServer {
+		zone := p.servers[s.owner].AvailabilityZone
+		if c.AvailabilityZone == zone {
+			penalty += zonePenalty
+		}
+		if loads := t.byZone[zone]; loads != nil {
+			penalty += loads[i] / c.capacity
+		}
+		penalty += float64(len(p.available)) * t.byOwner[[2]int{s.owner, i}] / c.capacity
+	}
+	for _, name := range s.Successors {
+		if p.servers[p.byName[name]].AvailabilityZone == c.AvailabilityZone {
+			// The second successor covers the loss of the first one's zone.
+			penalty += zonePenalty / 2
+		}
+	}
+	return penalty
+}
+
+// addTakeover counts s as taken over by server i.
+func (p *planner) addTakeover(t *takeover, s *slice, i int) {
+	if s.owner == noServer {
+		return
+	}
+	zone := p.servers[s.owner].AvailabilityZone
+	if t.byZone[zone] == nil {
+		t.byZone[zone] = make([]float64, len(p.servers))
+	}
+	// Idle slices count a little, so that they spread as well.
+	load := s.load + 1e-6
+	t.byZone[zone][i] += load
+	t.byOwner[[2]int{s.owner, i}] += load
+}
