--- /dev/null
+++ b/internal/standin/grants_test.go
@@ -0,0 +1,128 @@
+package standin
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/granter"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+const ttl = granter.GrantTTL
+
+func version(term topology.Term, sequence uint64) topology.Version {
+	return topology.Version{Term: term, Sequence: sequence}
+}
+
+func grant(v topology.Version, end time.Duration, ranges ...topology.Range) granter.Heartbeat {
+	return granter.Heartbeat{Term: v.Term, Incarnation: "one", SetVersion: v,
+		Set: &granter.GrantSet{Version: v, Ranges: ranges}, End: end}
+}
+
+func renew(term topology.Term, v topology.Version, end time.Duration) granter.Heartbeat {
+	return granter.Heartbeat{Term: term, Incarnation: "one", SetVersion: v, End: end}
+}
+
+// Guards against each heartbeat that a server must refuse being applied, and
+// against a refusal of those that it must apply.
+func TestGrantStateRefusals(t *testing.T) {
+	low, high := topology.Range{First: 0, Last: 99}, topology.Range{First: 100, Last: 199}
+	other := grant(version(5, 4), ttl, low)
+	other.Incarnation = "zero"
+	mismatch := grant(version(5, 4), ttl, low)
+	mismatch.Set.Version = version(5, 5)
+	cases := []struct {
+		name      string
+		heartbeat granter.Heartbeat
+		want      granter.Refusal
+		held      topology.Version
+		end       time.Duration
+	}{
+		{"lower term", renew(4, version(5, 3), ttl+time.Second), granter.RefusalTerm, version(5, 3), ttl},
+		{"question of a lower term", granter.Heartbeat{Term: 4}, granter.RefusalTerm, version(5, 3), ttl},
+		{"question", granter.Heartbeat{Term: 5}, granter.RefusalNone, version(5, 3), ttl},
+		{"other incarnation", other, granter.RefusalIncarnation, version(5, 3), ttl},
+		{"end too far", renew(5, version(5, 3), ttl+time.Second+1), granter.RefusalEnd, version(5, 3), ttl},
+		{"set without end", grant(version(5, 4), 0, low), granter.RefusalEnd, version(5, 3), ttl},
+		{"older set", grant(version(5, 2), ttl+time.Second, high), granter.RefusalVersion, version(5, 3), ttl},
+		{"other ranges, same version", grant(version(5, 3), ttl+time.Second, high), granter.RefusalVersion, version(5, 3), ttl},
+		{"two versions", mismatch, granter.RefusalVersion, version(5, 3), ttl},
+		{"renewal of a set not held", renew(5, version(5, 4), ttl+time.Second), granter.RefusalVersion, version(5, 3), ttl},
+		{"renewal", renew(5, version(5, 3), ttl+time.Second), granter.RefusalNone, version(5, 3), ttl + time.Second},
+		{"renewal by a later leader", renew(6, version(5, 3), ttl+time.Second), granter.RefusalNone, version(5, 3), ttl + time.Second},
+		{"repeated grant", grant(version(5, 3), ttl+time.Second, low), granter.RefusalNone, version(5, 3), ttl + time.Second},
+		{"delayed renewal", renew(5, version(5, 3), ttl/2), granter.RefusalNone, version(5, 3), ttl},
+		{"newer set", grant(version(5, 4), ttl+time.Second, high), granter.RefusalNone, version(5, 4), ttl + time.Second},
+		{"end already passed", grant(version(5, 4), time.Second/2, high), granter.RefusalNone, version(5, 4), time.Second / 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewGrantState("one")
+			assert.Equal(t, g.Apply(grant(version(5, 3), ttl, low), 0).Refused, granter.RefusalNone)
+			reply := g.Apply(c.heartbeat, time.Second)
+			assert.Equal(t, reply.Refused, c.want)
+			assert.Equal(t, reply.Clock, time.Second)
+			assert.Equal(t, reply.HighestTerm, max(5, c.heartbeat.Term))
+			assert.Equal(t, reply.Held.Version, c.held)
+			assert.Equal(t, reply.End, c.end)
+			sent := c.heartbeat.End == 0 || c.heartbeat.SetVersion != c.held
+			assert.Equal(t, len(reply.Held.Ranges) == 1, sent)
+		})
+	}
+}
+
+// Guards against requests run outside the set, after its end, or under a token
+// of an older set.
+func TestGrantStateCheck(t *testing.T) {
+	held := topology.Range{First: 100, Last: 199}
+	cases := []struct {
+		name  string
+		h     topology.Hash
+		token topology.Version
+		clock time.Duration
+		ok    bool
+	}{
+		{"held", 100, version(5, 3), ttl - 1, true},
+		{"newer token", 199, version(5, 4), 0, true},
+		{"older token", 100, version(5, 2), 0, false},
+		{"token of an older term", 100, version(4, 9), 0, false},
+		{"below", 99, version(5, 3), 0, false},
+		{"above", 200, version(5, 3), 0, false},
+		{"at the end", 100, version(5, 3), ttl, false},
+	}
+	for _, c := range cases {
+		g := NewGrantState("one")
+		g.Apply(grant(version(5, 3), ttl, held), 0)
+		err := g.Check(c.h, c.token, c.clock)
+		assert.Equal(t, err == nil, c.ok, c.name)
+		var e *apierror.Error
+		assert.Assert(t, c.ok || errors.As(err, &e) && e.Kind == apierror.KindNotOwner, c.name)
+	}
+}
+
+// Guards against a range reported as released while one of its requests runs,
+// and against one that is reported for ever.
+func TestGrantStateDraining(t *testing.T) {
+	left, right := topology.Range{First: 0, Last: 99}, topology.Range{First: 100, Last: 199}
+	both := topology.Range{First: 0, Last: 199}
+	question := granter.Heartbeat{Term: 5}
+	g := NewGrantState("one")
+	g.Apply(grant(version(5, 1), ttl, left, right), 0)
+	g.Begin(150)
+	g.Begin(150)
+	assert.DeepEqual(t, g.Apply(grant(version(5, 2), ttl, left), 0).Draining, []topology.Range{right})
+	assert.Assert(t, g.Check(150, version(5, 2), 0) != nil)
+	g.Finish(150)
+	assert.DeepEqual(t, g.Apply(question, 0).Draining, []topology.Range{right})
+	assert.Equal(t, len(g.Apply(grant(version(5, 3), ttl, both), 0).Draining), 0)
+	// Released again while the second request still runs.
+	reply := g.Apply(grant(version(5, 4), ttl), 0)
+	assert.DeepEqual(t, reply.Draining, []topology.Range{both})
+	assert.Equal(t, reply.InFlight, 1)
+	g.Finish(150)
+	assert.Equal(t, len(g.Apply(question, 0).Draining), 0)
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -107,10 +107,12 @@
 	grants  *GrantState
 	dead    chan struct{}
 	http    *http.Server
-	running int
-	queue   []chan struct{}
-	leaving time.Time
-	samples []sample
+	// listener is closed apart from http, which may not know it yet.
+	listener net.Listener
+	running  int
+	queue    []chan struct{}
+	leaving  time.Time
+	samples  []sample
 }
 
 // Server is a stand-in upstream server. Its methods are safe for concurrent use.
@@ -175,7 +177,7 @@
 	s.address = listener.Addr().String()
 	// The timeout bounds connections that never send a request.
 	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
-	s.current.http = server
+	s.current.http, s.current.listener = server, listener
 	s.group.Go(func() {
 		// Serve always fails in the end, by Crash or Close.
 		_ = server.Serve(&limitListener{Listener: listener, limit: s.options.Connections})
@@ -232,7 +234,8 @@
 	close(in.dead)
 	s.resume()
 	if in.http != nil {
-		// An error of closing the listener leaves nothing to be done.
+		// The listener is closed twice; errors leave nothing to be done.
+		_ = in.listener.Close()
 		_ = in.http.Close()
 	}
 }
--- /dev/null
+++ b/internal/standin/server_test.go
@@ -0,0 +1,301 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/granter"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// bench is one server on an in-memory network with a client and a leader.
+type bench struct {
+	t      *testing.T
+	server *Server
+	client *http.Client
+	leader granter.Granter
+	at     topology.Server
+	last   granter.Reply
+}
+
+func run(t *testing.T, options ServerOptions, test func(t *testing.T, b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		network := NewNetwork()
+		options.Name, options.Service, options.Listen = "inventario-1", "inventario", network.Listen
+		server := NewServer(options)
+		address, err := server.Listen("10.0.0.1:0")
+		assert.NilError(t, err)
+		client := network.Client()
+		defer server.Close()
+		defer client.CloseIdleConnections()
+		test(t, &bench{t: t, server: server, client: client, leader: granter.NewHTTP(client),
+			at: topology.Server{Name: options.Name, Address: address}})
+	})
+}
+
+// heartbeat asks the server and then grants it the whole ring at v.
+func (b *bench) grantAll(v topology.Version) {
+	b.t.Helper()
+	var err error
+	b.last, err = b.leader.Heartbeat(b.t.Context(), b.at, granter.Heartbeat{Term: v.Term})
+	assert.NilError(b.t, err)
+	b.last, err = b.leader.Heartbeat(b.t.Context(), b.at, b.full(v))
+	assert.NilError(b.t, err)
+	assert.Equal(b.t, b.last.Refused, granter.RefusalNone)
+}
+
+func (b *bench) full(v topology.Version) granter.Heartbeat {
+	return granter.Heartbeat{Term: v.Term, Incarnation: b.last.Incarnation, SetVersion: v, End: b.last.Clock + granter.GrantTTL,
+		Set: &granter.GrantSet{Version: v, Ranges: []topology.Range{topology.FullRange}}}
+}
+
+type answer struct {
+	status   int
+	header   http.Header
+	problem  apierror.Problem
+	body     []byte
+	err      error
+	duration time.Duration
+}
+
+func (b *bench) request(method, path string, header map[string]string, body string) (a answer) {
+	request, err := http.NewRequestWithContext(b.t.Context(), method, "http://"+b.at.Address+path, bytes.NewReader([]byte(body)))
+	assert.NilError(b.t, err)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	start := time.Now()
+	defer func() { a.duration = time.Since(start) }()
+	response, err := b.client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	a = answer{status: response.StatusCode, header: response.Header}
+	a.body, a.err = io.ReadAll(response.Body)
+	if a.status >= 400 && a.header.Get("Content-Type") == "application/problem+json" {
+		assert.NilError(b.t, json.Unmarshal(a.body, &a.problem))
+	}
+	return a
+}
+
+// Guards against a server that runs what it must refuse, or refuses in a way
+// that a host cannot recognize as not executed.
+func TestServerChecksRequests(t *testing.T) {
+	keyed := ServerOptions{DividedByKey: true, ServiceTime: 10 * time.Millisecond}
+	unchecked := keyed
+	unchecked.Unchecked = true
+	byHeader := keyed
+	byHeader.KeyHeader = "X-Bale"
+	token := map[string]string{HeaderFencingToken: "7.2", apierror.HeaderRequestID: "r1"}
+	cases := []struct {
+		name    string
+		options ServerOptions
+		path    string
+		header  map[string]string
+		wait    time.Duration
+		status  int
+		kind    apierror.Kind
+	}{
+		{"held", keyed, "/inventario/bale-1/stock", token, 0, 200, ""},
+		{"no token", keyed, "/inventario/bale-1", nil, 0, 421, apierror.KindNotOwner},
+		{"older token", keyed, "/inventario/bale-1", map[string]string{HeaderFencingToken: "7.1"}, 0, 421, apierror.KindNotOwner},
+		{"malformed token", keyed, "/inventario/bale-1", map[string]string{HeaderFencingToken: "7"}, 0, 400, apierror.KindBadRequest},
+		{"ended", keyed, "/inventario/bale-1", token, granter.GrantTTL, 421, apierror.KindNotOwner},
+		{"no key", keyed, "/inventario", token, 0, 400, apierror.KindBadRequest},
+		{"key header", byHeader, "/inventario", map[string]string{HeaderFencingToken: "7.2", "X-Bale": "b"}, 0, 200, ""},
+		{"unchecked", unchecked, "/inventario/bale-1", nil, time.Hour, 200, ""},
+		{"not divided", ServerOptions{}, "/inventario", nil, time.Hour, 200, ""},
+		{"deadline while running", keyed, "/inventario/b", map[string]string{HeaderFencingToken: "7.2", HeaderDeadline: "5"}, 0, 504, apierror.KindTimeout},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, c.options, func(t *testing.T, b *bench) {
+				b.grantAll(version(7, 2))
+				time.Sleep(c.wait)
+				a := b.request(http.MethodGet, c.path, c.header, "")
+				assert.NilError(t, a.err)
+				assert.Equal(t, a.status, c.status)
+				assert.Equal(t, a.problem.Kind, c.kind)
+				assert.Equal(t, a.header.Get(apierror.HeaderRequestID), c.header[apierror.HeaderRequestID])
+				ran := c.status == 200 || c.status == 504
+				assert.Equal(t, a.header.Get(apierror.HeaderExecuted) == "no", !ran)
+				assert.Equal(t, len(b.server.Executions()) == 1, ran)
+			})
+		})
+	}
+}
+
+// Guards against more requests at once than slots, a queue without bound, and
+// sheds that had run.
+func TestServerShedsAboveSlotsAndQueue(t *testing.T) {
+	run(t, ServerOptions{Slots: 2, Queue: 1, ServiceTime: time.Second, LoadLag: 400 * time.Millisecond}, func(t *testing.T, b *bench) {
+		answers := make([]answer, 5)
+		var group conc.WaitGroup
+		for i := range 4 {
+			group.Go(func() { answers[i] = b.request(http.MethodPost, "/inventario/k", nil, "") })
+		}
+		synctest.Wait()
+		var before, after Load
+		assert.NilError(t, json.Unmarshal(b.request(http.MethodGet, "/load", nil, "").body, &before))
+		time.Sleep(500 * time.Millisecond)
+		assert.NilError(t, json.Unmarshal(b.request(http.MethodGet, "/load", nil, "").body, &after))
+		assert.Equal(t, before, Load{Slots: 2})
+		assert.Equal(t, after, Load{Running: 2, Queued: 1, Slots: 2})
+		group.Wait()
+		statuses := map[int]int{}
+		for _, a := range answers[:4] {
+			statuses[a.status]++
+			assert.Assert(t, a.status == 200 || a.header.Get(apierror.HeaderExecuted) == "no")
+		}
+		assert.DeepEqual(t, statuses, map[int]int{200: 3, 503: 1})
+		executions := b.server.Executions()
+		assert.Equal(t, len(executions), 3)
+		assert.Equal(t, executions[2].Start.Sub(executions[0].Start), time.Second)
+		// A queued request whose deadline passes is refused and never runs.
+		for i := range 2 {
+			group.Go(func() { answers[i] = b.request(http.MethodPost, "/inventario/k", nil, "") })
+		}
+		synctest.Wait()
+		late := b.request(http.MethodPost, "/inventario/k", map[string]string{HeaderDeadline: "100"}, "")
+		group.Wait()
+		assert.Equal(t, late.problem.Kind, apierror.KindDeadline)
+		assert.Equal(t, late.duration, 100*time.Millisecond)
+		assert.Equal(t, len(b.server.Executions()), 5)
+	})
+}
+
+// Guards against a stand-in that is kinder than a frozen process: what arrived
+// is processed on resumption, by a clock that kept counting.
+func TestServerFreeze(t *testing.T) {
+	options := ServerOptions{DividedByKey: true, Slots: 2, Queue: 2, ServiceTime: 100 * time.Millisecond}
+	run(t, options, func(t *testing.T, b *bench) {
+		b.grantAll(version(7, 1))
+		token := map[string]string{HeaderFencingToken: "7.1"}
+		var running, queued answer
+		var beat granter.Reply
+		var beatErr error
+		var group conc.WaitGroup
+		group.Go(func() { running = b.request(http.MethodGet, "/inventario/a", token, "") })
+		time.Sleep(50 * time.Millisecond)
+		b.server.Freeze()
+		renewal := renew(7, version(7, 1), b.last.Clock+granter.GrantTTL)
+		renewal.Incarnation = b.last.Incarnation
+		group.Go(func() { beat, beatErr = b.leader.Heartbeat(t.Context(), b.at, renewal) })
+		group.Go(func() { queued = b.request(http.MethodGet, "/inventario/b", token, "") })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := b.leader.Heartbeat(ctx, b.at, granter.Heartbeat{Term: 8})
+		assert.ErrorContains(t, err, "deadline")
+		time.Sleep(granter.GrantTTL)
+		assert.Assert(t, !b.server.Owned().Valid)
+		b.server.Resume()
+		group.Wait()
+		assert.Equal(t, running.status, 200)
+		assert.Assert(t, running.duration >= granter.GrantTTL+time.Second)
+		assert.Equal(t, queued.status, 421)
+		assert.NilError(t, beatErr)
+		assert.Assert(t, beat.Clock >= beat.End, "a heartbeat from before the freeze revived the set: %+v", beat)
+		// The heartbeat whose sender gave up was in the socket and counts.
+		late, err := b.leader.Heartbeat(t.Context(), b.at, granter.Heartbeat{Term: 8})
+		assert.NilError(t, err)
+		assert.Equal(t, late.HighestTerm, topology.Term(8))
+	})
+}
+
+// Guards against grants, connections or the incarnation surviving a crash.
+func TestServerCrashAndRestart(t *testing.T) {
+	options := ServerOptions{DividedByKey: true, ServiceTime: time.Second, PoisonHeader: "X-Poison", RestartAfter: time.Minute, ClockOffset: time.Hour}
+	run(t, options, func(t *testing.T, b *bench) {
+		b.grantAll(version(7, 1))
+		before := b.server.Owned()
+		assert.Assert(t, before.Valid && before.Clock >= time.Hour)
+		a := b.request(http.MethodPost, "/inventario/a", map[string]string{HeaderFencingToken: "7.1", "X-Poison": "1"}, "")
+		assert.Assert(t, a.err != nil)
+		executions := b.server.Executions()
+		assert.Equal(t, len(executions), 1)
+		assert.Assert(t, !executions[0].Completed && executions[0].Held)
+		assert.Assert(t, !b.server.Owned().Valid)
+		a = b.request(http.MethodGet, "/health", nil, "")
+		assert.ErrorContains(t, a.err, "connection refused")
+		time.Sleep(time.Minute + time.Millisecond)
+		after := b.server.Owned()
+		assert.Assert(t, !after.Valid && after.Incarnation != before.Incarnation && len(after.Ranges) == 0)
+		reply, err := b.leader.Heartbeat(t.Context(), b.at, b.full(version(7, 2)))
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Refused, granter.RefusalIncarnation)
+		assert.Equal(t, reply.HighestTerm, topology.Term(7))
+	})
+}
+
+// Guards against a leaving server that does not say so or drops its requests.
+func TestServerDrain(t *testing.T) {
+	run(t, ServerOptions{ServiceTime: time.Second}, func(t *testing.T, b *bench) {
+		var inFlight answer
+		var group conc.WaitGroup
+		group.Go(func() { inFlight = b.request(http.MethodPost, "/inventario/a", nil, "") })
+		synctest.Wait()
+		b.server.Drain()
+		assert.Equal(t, b.request(http.MethodGet, "/health", nil, "").status, 503)
+		reply, err := b.leader.Heartbeat(t.Context(), b.at, granter.Heartbeat{Term: 1})
+		assert.NilError(t, err)
+		assert.Assert(t, reply.Leaving && reply.InFlight == 1)
+		group.Wait()
+		assert.Equal(t, inFlight.status, 200)
+		assert.Assert(t, b.server.Executions()[0].Completed)
+	})
+}
+
+// Guards against downloads whose ranges do not fit together across servers.
+func TestServerArchive(t *testing.T) {
+	const size = 100_003
+	run(t, ServerOptions{ArchiveBytes: size, Connections: 1}, func(t *testing.T, b *bench) {
+		whole := b.request(http.MethodGet, "/archivo/k/archive.zip", nil, "")
+		assert.NilError(t, whole.err)
+		assert.Equal(t, len(whole.body), size)
+		assert.Equal(t, whole.header.Get("Content-Length"), fmt.Sprint(size))
+		etag := whole.header.Get("ETag")
+		assert.Equal(t, etag, NewArchive("/archivo/k/archive.zip", size).ETag())
+		assert.NilError(t, b.server.Restart())
+		rest := b.request(http.MethodGet, "/archivo/k/archive.zip", map[string]string{"Range": "bytes=50005-", "If-Range": etag}, "")
+		assert.Equal(t, rest.status, http.StatusPartialContent)
+		assert.Equal(t, rest.header.Get("ETag"), etag)
+		assert.Assert(t, bytes.Equal(rest.body, whole.body[50005:]))
+		changed := b.request(http.MethodGet, "/archivo/k/archive.zip", map[string]string{"Range": "bytes=50005-", "If-Range": `"x"`}, "")
+		assert.Equal(t, changed.status, http.StatusOK)
+	})
+}
+
+// Guards against a server that accepts more connections than it has.
+func TestServerLimitsConnections(t *testing.T) {
+	run(t, ServerOptions{Slots: 5, Connections: 2, ServiceTime: time.Second}, func(t *testing.T, b *bench) {
+		var served, refused int
+		results := make(chan answer, 3)
+		var group conc.WaitGroup
+		for range 3 {
+			group.Go(func() { results <- b.request(http.MethodPost, "/inventario/a", nil, "") })
+		}
+		group.Wait()
+		for range 3 {
+			if a := <-results; a.err != nil {
+				refused++
+			} else {
+				served++
+			}
+		}
+		assert.Equal(t, served, 2)
+		assert.Equal(t, refused, 1)
+		assert.Equal(t, b.request(http.MethodPost, "/inventario/a", nil, "").status, 200)
+	})
+}
