--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -296,7 +296,11 @@
 	return s.current.leaving
 }
 
-// Control runs the named action of the dev command's control address.
+// slowFactor is how much longer requests run after the action "slow".
+const slowFactor = 10
+
+// Control runs the named action of the dev command's control address. The
+// action "resume" also ends "slow".
 func (s *Server) Control(action string) error {
 	switch action {
 	case "freeze":
@@ -309,7 +313,7 @@
 	case "restart":
 		return s.Restart()
 	case "slow":
-		s.Slow(10)
+		s.Slow(slowFactor)
 	case "drain":
 		s.Drain()
 	default:
--- a/internal/store/memory/memory.go
+++ b/internal/store/memory/memory.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -325,3 +326,27 @@
 	}
 	return out
 }
+
+// slowDelay is what the action "slow" adds to each answer: a hundred times the
+// milliseconds that the platform's service promises.
+const slowDelay = 500 * time.Millisecond
+
+// Control runs the named action of the dev command's control address. The
+// action "up" ends all others.
+func (s *Store) Control(action string) error {
+	switch action {
+	case "down":
+		s.Down()
+	case "up":
+		s.Up()
+		s.Slow(0)
+		s.LoseAnswers(0)
+	case "slow":
+		s.Slow(slowDelay)
+	case "lose-answers":
+		s.LoseAnswers(-1)
+	default:
+		return fmt.Errorf("unknown action %q", action)
+	}
+	return nil
+}
