--- /dev/null
+++ b/internal/placement/simulation/world.go
@@ -0,0 +1,191 @@
+package simulation
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cassiasill/cassiasill/internal/placement"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+func sqrt(x float64) float64 { return math.Sqrt(x) }
+
+// availabilityZones is the number of availability zones of both deployments.
+const availabilityZones = 3
+
+// world is the true state: who owns which key, and which server is alive.
+type world struct {
+	options  Options
+	scenario Scenario
+	load     *load
+	owners   []int16 // by key
+	loads    []float64
+	servers  []serverState
+	// account of the current second
+	moved      float64 // weight of the keys that moved
+	unserved   float64 // weight times seconds
+	unservedBy float64 // keys times seconds
+}
+
+// serverState is the true state of a server.
+type serverState struct {
+	state placement.ServerState
+	since int // second of the last change
+	// absent servers have not joined yet.
+	absent bool
+}
+
+func newWorld(s Scenario, o Options) *world {
+	w := &world{options: o, scenario: s, load: newLoad(s, o.Keys, o.Seed)}
+	w.owners = make([]int16, o.Keys)
+	w.servers = make([]serverState, o.Servers+s.Joining)
+	w.loads = make([]float64, len(w.servers))
+	for i := range w.servers {
+		w.servers[i] = serverState{absent: i >= o.Servers, since: -1 << 20}
+	}
+	return w
+}
+
+// name returns the name of server i.
+func name(i int) topology.ServerName { return topology.ServerName(fmt.Sprintf("server-%02d", i)) }
+
+// event changes the fleet. A lost server leaves its keys unserved until hosts
+// have noticed it and granted them elsewhere.
+func (w *world) event(e Event, second int) {
+	for _, i := range w.selected(e) {
+		s := &w.servers[i]
+		s.since = second
+		switch e.Kind {
+		case EventCrash:
+			s.state = placement.Gone
+			for _, owner := range w.owners {
+				if int(owner) == i {
+					w.unservedBy += w.options.LossGap.Seconds()
+				}
+			}
+			w.unserved += w.loads[i] * w.options.LossGap.Seconds()
+		case EventDrain:
+			s.state = placement.Draining
+		case EventReturn:
+			s.state = placement.Returning
+		case EventJoin:
+			s.state, s.absent = placement.Returning, false
+		}
+	}
+}
+
+// selected returns the servers of an event. Index -1 is the last server.
+func (w *world) selected(e Event) []int {
+	var out []int
+	for _, i := range e.Servers {
+		out = append(out, (i+len(w.servers))%len(w.servers))
+	}
+	if len(e.Servers) == 0 {
+		for i := range w.servers {
+			if i%availabilityZones == e.Zone {
+				out = append(out, i)
+			}
+		}
+	}
+	return out
+}
+
+// alive reports whether server i answers requests.
+func (w *world) alive(i int) bool {
+	return !w.servers[i].absent && w.servers[i].state != placement.Gone
+}
+
+// receives reports whether server i should own keys.
+func (w *world) receives(i int) bool { return w.alive(i) && w.servers[i].state != placement.Draining }
+
+// visible returns the servers as the leader sees them: a loss is noticed after
+// the loss gap, rounded up to a second.
+func (w *world) visible(second int) []placement.Server {
+	var out []placement.Server
+	noticed := int((w.options.LossGap + time.Second - 1) / time.Second)
+	for i, s := range w.servers {
+		if s.absent {
+			continue
+		}
+		state := s.state
+		if state == placement.Gone && second-s.since < noticed {
+			state = placement.Ready
+		}
+		out = append(out, placement.Server{
+			Name: name(i), State: state, Since: time.Duration(second-s.since) * time.Second,
+			AvailabilityZone: topology.AvailabilityZone(fmt.Sprintf("zone-%d", i%availabilityZones)),
+		})
+	}
+	return out
+}
+
+// keysIn returns the first key in r and the first after it.
+func (w *world) keysIn(r topology.Range) (int, int) {
+	lo, _ := slices.BinarySearch(w.load.hashes, r.First)
+	hi, found := slices.BinarySearchFunc(w.load.hashes, r.Last, func(a, b topology.Hash) int { return cmp.Compare(a, b) })
+	if found {
+		hi++
+	}
+	return lo, hi
+}
+
+// assign gives keys to a server and accounts for the move.
+func (w *world) assign(lo, hi, to int) {
+	gap := w.options.MoveGap.Seconds()
+	for k := lo; k < hi; k++ {
+		from := int(w.owners[k])
+		if from == to {
+			continue
+		}
+		weight := w.load.weights[k]
+		w.owners[k] = int16(to)
+		w.loads[from] -= weight
+		w.loads[to] += weight
+		w.moved += weight
+		// A lost server's keys have been accounted for when it was lost.
+		if w.servers[from].state != placement.Gone {
+			w.unserved += weight * gap
+			w.unservedBy += gap
+		}
+	}
+}
+
+// recount sums the loads of all servers.
+func (w *world) recount() {
+	clear(w.loads)
+	for k, owner := range w.owners {
+		w.loads[owner] += w.load.weights[k]
+	}
+}
+
+// absorbedKeys returns a part of the keys on each of the first three servers.
+func (w *world) absorbedKeys() [3][]int {
+	var out [3][]int
+	for k, owner := range w.owners {
+		if owner < 3 && k%10 == 0 {
+			out[owner] = append(out[owner], k)
+		}
+	}
+	return out
+}
+
+// ratios returns the maximum over the mean load of the servers that should own
+// keys, and the least value that any placement could reach.
+func (w *world) ratios() (ratio, bound float64) {
+	highest, sum, n := 0.0, 0.0, 0
+	for i, l := range w.loads {
+		if !w.alive(i) {
+			continue
+		}
+		sum += l
+		if w.receives(i) {
+			n++
+		}
+		highest = max(highest, l)
+	}
+	mean := sum / float64(n)
+	return highest / mean, max(1, w.load.hottest()/mean)
+}
