--- /dev/null
+++ b/internal/configsync/payload.go
@@ -0,0 +1,150 @@
+package configsync
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/cassiasill/cassiasill/internal/declaration"
+)
+
+// The topics by which hosts pass declarations on.
+const (
+	// Topic carries the latest changes; its version's sequence is the revision.
+	Topic = "declarations"
+	// SnapshotTopic carries all documents at a revision that is not older than
+	// the start of the changes in Topic.
+	SnapshotTopic = "declarations/snapshot"
+	// InForceTopic is followed by a host's name; the payload is an InForce.
+	InForceTopic = "inforce/"
+)
+
+// Bounds of the changes in Topic; beyond them a new snapshot is published.
+const (
+	maxDeltas     = 64
+	maxDeltaBytes = 64 << 10
+	// maxSnapshotBytes bounds what a host unpacks: 10⁴ documents of 1 KB
+	// several times over.
+	maxSnapshotBytes = 64 << 20
+)
+
+// InForce is what a host publishes about itself.
+type InForce struct {
+	Host     string `json:"host"`
+	Revision uint64 `json:"revision"`
+}
+
+// payload is the content of Topic.
+type payload struct {
+	Revision uint64 `json:"revision"`
+	Digest   uint64 `json:"digest"`
+	// Deltas are consecutive: each starts where the one before ends, and the
+	// last ends at Revision.
+	Deltas []delta `json:"deltas"`
+}
+
+// delta is the difference between two revisions. It can be applied to any
+// state from From to To, because it holds the final content of every document
+// that changed in between.
+type delta struct {
+	From   uint64                  `json:"from"`
+	To     uint64                  `json:"to"`
+	Put    []*declaration.Document `json:"put,omitempty"`
+	Delete []declaration.Key       `json:"delete,omitempty"`
+}
+
+// difference returns the delta from before to after.
+func difference(before, after State) delta {
+	d := delta{From: before.Revision, To: after.Revision}
+	for _, key := range slices.SortedFunc(maps.Keys(after.Documents), declaration.Key.Compare) {
+		old, now := before.Documents[key], after.Documents[key]
+		if old == nil || old.Metadata.Revision != now.Metadata.Revision {
+			d.Put = append(d.Put, now)
+		}
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(before.Documents), declaration.Key.Compare) {
+		if after.Documents[key] == nil {
+			d.Delete = append(d.Delete, key)
+		}
+	}
+	return d
+}
+
+// advance applies the payload to a state and reports whether the result is
+// exactly the payload's revision.
+func (p payload) advance(s State) (State, bool) {
+	next := State{Revision: s.Revision, Documents: maps.Clone(s.Documents), Digest: s.Digest}
+	if next.Documents == nil {
+		next.Documents = make(map[declaration.Key]*declaration.Document)
+	}
+	for _, d := range p.Deltas {
+		if d.To <= next.Revision {
+			continue
+		}
+		if d.From > next.Revision {
+			return State{}, false
+		}
+		for _, document := range d.Put {
+			next.replace(document.Key(), document)
+		}
+		for _, key := range d.Delete {
+			next.replace(key, nil)
+		}
+		next.Revision = d.To
+	}
+	return next, next.Revision == p.Revision && next.Digest == p.Digest
+}
+
+// replace sets or, with nil, removes a document.
+func (s *State) replace(key declaration.Key, d *declaration.Document) {
+	if old := s.Documents[key]; old != nil {
+		s.Digest -= old.Hash()
+	}
+	if d == nil {
+		delete(s.Documents, key)
+		return
+	}
+	s.Documents[key] = d
+	s.Digest += d.Hash()
+}
+
+type snapshot struct {
+	Revision  uint64                  `json:"revision"`
+	Documents []*declaration.Document `json:"documents"`
+}
+
+func encodeSnapshot(s State) []byte {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	// Writes to a buffer do not fail.
+	_, _ = w.Write(encode(snapshot{Revision: s.Revision, Documents: declaration.Sorted(s.Documents)}))
+	_ = w.Close()
+	return b.Bytes()
+}
+
+func decodeSnapshot(data []byte) (State, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return State{}, fmt.Errorf("snapshot of declarations: %w", err)
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, maxSnapshotBytes))
+	if err != nil {
+		return State{}, fmt.Errorf("snapshot of declarations: %w", err)
+	}
+	var content snapshot
+	if err := json.Unmarshal(raw, &content); err != nil {
+		return State{}, fmt.Errorf("snapshot of declarations: %w", err)
+	}
+	s := State{Revision: content.Revision, Documents: make(map[declaration.Key]*declaration.Document, len(content.Documents))}
+	for _, d := range content.Documents {
+		if d == nil {
+			return State{}, fmt.Errorf("snapshot of declarations: empty document")
+		}
+		s.replace(d.Key(), d)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/declaration/set.go
@@ -0,0 +1,355 @@
+package declaration
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// Service is what the settings say about one service.
+type Service struct {
+	Name        topology.ServiceName
+	Partitioned bool
+	Servers     []topology.Server
+}
+
+// Inventory is what the settings say about the deployment.
+type Inventory struct {
+	Services []Service
+	// Callers holds labels of known callers; a caller that is not listed has
+	// only LabelCaller.
+	Callers map[topology.Caller]topology.Labels
+}
+
+// Set answers every question about the documents of one revision. It is
+// immutable and safe for concurrent use.
+type Set struct {
+	revision  uint64
+	documents map[Key]*Document
+	digest    func() uint64
+	services  map[topology.ServiceName]*serviceSet
+	callers   map[topology.Caller]topology.Labels
+}
+
+type serviceSet struct {
+	partitioned bool
+	servers     []serverState
+	index       map[topology.ServerName]int
+	live        []topology.ServerName // not drained
+	keys        keyIndex
+	ownership   []rule
+	serving     []rule
+	groups      cache[string, *Group]
+	eligible    cache[topology.Caller, []topology.ServerName]
+}
+
+type serverState struct {
+	name    topology.ServerName
+	labels  topology.Labels
+	sources map[string]Key
+	given   []*Document // by name; the last one wins
+	drained bool
+}
+
+// rule is a compiled OwnershipRule or ServingRule.
+type rule struct {
+	document *Document
+	subjects Selector
+	servers  Selector
+	// selected has one entry for each server of the service.
+	selected []bool
+}
+
+// Group is a set of keys to which the same ownership rules apply.
+type Group struct {
+	// ID is the names of the rules, joined by commas; empty for keys to which
+	// no rule applies.
+	ID string
+	// Rules are the names of the rules that apply.
+	Rules []string
+	// Servers may own the keys of the group. It is empty if the rules leave
+	// no server; then the last owner keeps the keys.
+	Servers []topology.ServerName
+}
+
+// cacheLimit bounds each cache of answers; callers come from the network, so
+// their number is not bounded by itself.
+const cacheLimit = 4096
+
+// cache is a map that readers read without a lock or allocation.
+type cache[K comparable, V any] struct{ entries atomic.Pointer[map[K]V] }
+
+func (c *cache[K, V]) get(key K, compute func() V) V {
+	old := c.entries.Load()
+	if old != nil {
+		if v, ok := (*old)[key]; ok {
+			return v
+		}
+	}
+	v := compute()
+	next := make(map[K]V)
+	if old != nil && len(*old) < cacheLimit {
+		next = maps.Clone(*old)
+	}
+	next[key] = v
+	// A lost race only means that the entry is computed again.
+	c.entries.CompareAndSwap(old, &next)
+	return v
+}
+
+// Compile builds the set of the documents at a revision. Documents that do not
+// fit the inventory are left without effect; Validate reports them.
+func Compile(revision uint64, documents map[Key]*Document, inventory Inventory) *Set {
+	s := &Set{
+		revision: revision, documents: documents, digest: sync.OnceValue(func() uint64 { return Digest(documents) }),
+		services: make(map[topology.ServiceName]*serviceSet, len(inventory.Services)), callers: inventory.Callers,
+	}
+	for _, service := range inventory.Services {
+		s.services[service.Name] = newServiceSet(service)
+	}
+	sorted := Sorted(documents)
+	for _, d := range sorted {
+		if target := s.services[d.Spec.Service]; target != nil {
+			target.addLabels(d)
+		}
+	}
+	for _, service := range s.services {
+		service.finishLabels()
+	}
+	for _, d := range sorted {
+		if target := s.services[d.Spec.Service]; target != nil {
+			target.addRule(d)
+		}
+	}
+	return s
+}
+
+func newServiceSet(service Service) *serviceSet {
+	out := &serviceSet{partitioned: service.Partitioned, index: make(map[topology.ServerName]int)}
+	for i, server := range service.Servers {
+		labels := maps.Clone(server.Labels)
+		if labels == nil {
+			labels = make(topology.Labels)
+		}
+		labels[LabelServer] = string(server.Name)
+		labels[LabelAvailabilityZone] = string(server.AvailabilityZone)
+		out.servers = append(out.servers, serverState{name: server.Name, labels: labels, sources: make(map[string]Key)})
+		out.index[server.Name] = i
+	}
+	return out
+}
+
+func (s *serviceSet) addLabels(d *Document) {
+	switch d.Kind {
+	case KindServerLabels:
+		i, ok := s.index[d.Spec.Server]
+		if !ok {
+			return
+		}
+		s.servers[i].given = append(s.servers[i].given, d)
+		for name, value := range d.Spec.Labels {
+			s.servers[i].labels[name] = value
+			s.servers[i].sources[name] = d.Key()
+		}
+	case KindKeyLabels:
+		s.keys.add(d)
+	}
+}
+
+func (s *serviceSet) finishLabels() {
+	for i := range s.servers {
+		server := &s.servers[i]
+		server.drained = server.labels[LabelDrain] == "true"
+		if !server.drained {
+			s.live = append(s.live, server.name)
+		}
+	}
+	s.keys.finish()
+}
+
+func (s *serviceSet) addRule(d *Document) {
+	r := rule{document: d, selected: make([]bool, len(s.servers))}
+	subjects := d.Spec.Keys
+	if d.Kind == KindServingRule {
+		subjects = d.Spec.Callers
+	}
+	var err, err2 error
+	r.subjects, err = ParseSelector(subjects)
+	r.servers, err2 = ParseSelector(d.Spec.Servers)
+	if err != nil || err2 != nil {
+		return
+	}
+	for i, server := range s.servers {
+		r.selected[i] = r.servers.Matches(server.labels)
+	}
+	switch {
+	case d.Kind == KindOwnershipRule && s.partitioned:
+		s.ownership = append(s.ownership, r)
+	case d.Kind == KindServingRule && !s.partitioned:
+		s.serving = append(s.serving, r)
+	}
+}
+
+// Revision returns the revision of the documents.
+func (s *Set) Revision() uint64 { return s.revision }
+
+// Digest returns the digest of the documents.
+func (s *Set) Digest() uint64 { return s.digest() }
+
+// Documents returns the documents. The map and what it holds must not be
+// changed.
+func (s *Set) Documents() map[Key]*Document { return s.documents }
+
+// Get returns a copy of one document, or nil.
+func (s *Set) Get(key Key) *Document { return s.documents[key].Clone() }
+
+// ServerLabels returns all labels of a server: those of the settings,
+// overridden by the documents, and the router's own.
+func (s *Set) ServerLabels(service topology.ServiceName, server topology.ServerName) (topology.Labels, bool) {
+	target := s.services[service]
+	if target == nil {
+		return nil, false
+	}
+	i, ok := target.index[server]
+	if !ok {
+		return nil, false
+	}
+	return maps.Clone(target.servers[i].labels), true
+}
+
+// Drained reports whether operators are draining the server.
+func (s *Set) Drained(service topology.ServiceName, server topology.ServerName) bool {
+	target := s.services[service]
+	if target == nil {
+		return false
+	}
+	i, ok := target.index[server]
+	return ok && target.servers[i].drained
+}
+
+// KeyLabels returns the labels of a key.
+func (s *Set) KeyLabels(service topology.ServiceName, key string) topology.Labels {
+	if target := s.services[service]; target != nil {
+		labels, _ := target.keys.labels(key)
+		return labels
+	}
+	return topology.Labels{LabelKey: key}
+}
+
+// LabeledKeys returns the exact keys of a service that have documents of their
+// own, so that the planner can give them slices of their own.
+func (s *Set) LabeledKeys(service topology.ServiceName) []string {
+	if target := s.services[service]; target != nil {
+		return slices.Sorted(maps.Keys(target.keys.exact))
+	}
+	return nil
+}
+
+// GroupOf returns the group of a key. An unknown service gives an empty group.
+func (s *Set) GroupOf(service topology.ServiceName, key string) *Group {
+	target := s.services[service]
+	if target == nil {
+		return &Group{}
+	}
+	labels, _ := target.keys.labels(key)
+	return target.group(target.ownershipOf(labels))
+}
+
+// MayOwn returns the servers that may own a key. An empty result means that
+// the last owner keeps it.
+func (s *Set) MayOwn(service topology.ServiceName, key string) []topology.ServerName {
+	return s.GroupOf(service, key).Servers
+}
+
+// DefaultGroup returns the group of the keys that have no labels.
+func (s *Set) DefaultGroup(service topology.ServiceName) *Group {
+	target := s.services[service]
+	if target == nil {
+		return &Group{}
+	}
+	return target.group(target.ownershipOf(topology.Labels{}))
+}
+
+// ownershipOf returns the indexes of the ownership rules that apply to labels.
+func (s *serviceSet) ownershipOf(labels topology.Labels) []int {
+	var out []int
+	for i := range s.ownership {
+		if s.ownership[i].subjects.Matches(labels) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (s *serviceSet) group(rules []int) *Group {
+	names := make([]string, len(rules))
+	for i, r := range rules {
+		names[i] = s.ownership[r].document.Metadata.Name
+	}
+	id := strings.Join(names, ",")
+	return s.groups.get(id, func() *Group {
+		return &Group{ID: id, Rules: names, Servers: s.intersect(s.ownership, rules)}
+	})
+}
+
+// intersect returns the servers that every given rule selects and that are not
+// drained.
+func (s *serviceSet) intersect(rules []rule, apply []int) []topology.ServerName {
+	if len(apply) == 0 {
+		return s.live
+	}
+	out := []topology.ServerName{}
+	for i, server := range s.servers {
+		if server.drained {
+			continue
+		}
+		if !slices.ContainsFunc(apply, func(r int) bool { return !rules[r].selected[i] }) {
+			out = append(out, server.name)
+		}
+	}
+	return out
+}
+
+// MayServe returns the upstreams that may serve a caller of a service that is
+// not partitioned by key. The result must not be changed; a repeated call
+// allocates nothing.
+func (s *Set) MayServe(service topology.ServiceName, caller topology.Caller) []topology.ServerName {
+	target := s.services[service]
+	if target == nil {
+		return nil
+	}
+	if len(target.serving) == 0 {
+		return target.live
+	}
+	if known := target.eligible.entries.Load(); known != nil {
+		if servers, ok := (*known)[caller]; ok {
+			return servers
+		}
+	}
+	return target.eligible.get(caller, func() []topology.ServerName {
+		return target.intersect(target.serving, target.servingOf(s.callerLabels(caller)))
+	})
+}
+
+func (s *serviceSet) servingOf(labels topology.Labels) []int {
+	var out []int
+	for i := range s.serving {
+		if s.serving[i].subjects.Matches(labels) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (s *Set) callerLabels(caller topology.Caller) topology.Labels {
+	labels := maps.Clone(s.callers[caller])
+	if labels == nil {
+		labels = make(topology.Labels)
+	}
+	labels[LabelCaller] = string(caller)
+	return labels
+}
--- /dev/null
+++ b/internal/declaration/validate.go
@@ -0,0 +1,188 @@
+package declaration
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Finding is a fault of a document in the context of all others. Warnings do
+// not prevent a change.
+type Finding struct {
+	Document Key    `json:"document"`
+	Field    string `json:"field,omitempty"`
+	Warning  bool   `json:"warning,omitempty"`
+	Reason   string `json:"reason"`
+}
+
+// String describes the finding.
+func (f Finding) String() string {
+	if f.Field == "" {
+		return fmt.Sprintf("%s: %s", f.Document, f.Reason)
+	}
+	return fmt.Sprintf("%s: %s: %s", f.Document, f.Field, f.Reason)
+}
+
+// Validate returns the findings about all documents of the set.
+func (s *Set) Validate() []Finding {
+	v := &validator{set: s}
+	for _, d := range Sorted(s.documents) {
+		v.document(d)
+	}
+	for _, d := range Sorted(s.documents) {
+		if d.Kind == KindOwnershipRule || d.Kind == KindServingRule {
+			v.rule(d)
+		}
+	}
+	v.unownedKeys()
+	return v.findings
+}
+
+type validator struct {
+	set      *Set
+	findings []Finding
+}
+
+func (v *validator) add(warning bool, d *Document, field, format string, args ...any) {
+	v.findings = append(v.findings, Finding{Document: d.Key(), Field: field, Warning: warning, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (v *validator) document(d *Document) {
+	for _, fault := range d.Check() {
+		v.add(false, d, fault.Field, "%s", fault.Reason)
+	}
+	service := v.set.services[d.Spec.Service]
+	if service == nil {
+		var names []string
+		for name := range v.set.services {
+			names = append(names, string(name))
+		}
+		v.add(false, d, "spec.service", "no service %q%s", d.Spec.Service, suggestion(string(d.Spec.Service), names))
+		return
+	}
+	switch d.Kind {
+	case KindServerLabels:
+		if _, ok := service.index[d.Spec.Server]; !ok {
+			var names []string
+			for name := range service.index {
+				names = append(names, string(name))
+			}
+			v.add(false, d, "spec.server", "service %s has no server %q%s", d.Spec.Service, d.Spec.Server, suggestion(string(d.Spec.Server), names))
+		}
+	case KindKeyLabels, KindOwnershipRule:
+		if !service.partitioned {
+			v.add(false, d, "spec.service", "service %s is not partitioned by key; use a ServingRule", d.Spec.Service)
+		}
+	case KindServingRule:
+		if service.partitioned {
+			v.add(false, d, "spec.service", "service %s is partitioned by key: the owner serves; use an OwnershipRule", d.Spec.Service)
+		}
+	}
+	v.doubleLabels(d, service)
+}
+
+// doubleLabels reports a second document that gives the same label to the same
+// server, key, prefix or pattern another value: which one wins would depend on
+// the documents' names.
+func (v *validator) doubleLabels(d *Document, service *serviceSet) {
+	var others []*Document
+	switch d.Kind {
+	case KindServerLabels:
+		if i, ok := service.index[d.Spec.Server]; ok {
+			others = service.servers[i].given
+		}
+	case KindKeyLabels:
+		others = append(others, service.keys.exact[d.Spec.Key]...)
+		others = append(others, service.keys.prefixes[d.Spec.Prefix]...)
+	}
+	for _, other := range others {
+		if other.Key() == d.Key() {
+			continue
+		}
+		for label, value := range d.Spec.Labels {
+			if otherValue, ok := other.Spec.Labels[label]; ok && otherValue != value {
+				v.add(false, d, labelField+label, "%s gives the label another value, %q", other.Key(), otherValue)
+			}
+		}
+	}
+}
+
+func (v *validator) rule(d *Document) {
+	service := v.set.services[d.Spec.Service]
+	if service == nil {
+		return
+	}
+	servers, err := ParseSelector(d.Spec.Servers)
+	if err != nil {
+		return
+	}
+	matched := 0
+	known := map[string]bool{}
+	for _, server := range service.servers {
+		if servers.Matches(server.labels) {
+			matched++
+		}
+		for name := range server.labels {
+			known[name] = true
+		}
+	}
+	if matched == 0 {
+		v.add(true, d, "spec.servers", "matches none of the %d servers of %s%s", len(service.servers), d.Spec.Service, unknownLabels(servers, known))
+	}
+	if d.Kind != KindOwnershipRule {
+		return
+	}
+	keys, err := ParseSelector(d.Spec.Keys)
+	if err != nil || keys.IsEmpty() {
+		return
+	}
+	known = map[string]bool{LabelKey: true}
+	for _, other := range v.set.documents {
+		if other.Kind == KindKeyLabels && other.Spec.Service == d.Spec.Service {
+			for name := range other.Spec.Labels {
+				known[name] = true
+			}
+		}
+	}
+	if hint := unknownLabels(keys, known); hint != "" {
+		v.add(true, d, "spec.keys", "selects by a label that no key has%s", hint)
+	}
+}
+
+func unknownLabels(s Selector, known map[string]bool) string {
+	var names []string
+	for name := range known {
+		names = append(names, name)
+	}
+	var hints []string
+	for _, label := range s.Labels() {
+		if !known[label] {
+			hints = append(hints, fmt.Sprintf("; no label %s%s", label, suggestion(label, names)))
+		}
+	}
+	return strings.Join(hints, "")
+}
+
+// unownedKeys warns of keys that rules and drains leave without a server.
+func (v *validator) unownedKeys() {
+	warned := map[string]bool{}
+	warn := func(d *Document, service *serviceSet, group *Group, what string) {
+		id := string(d.Spec.Service) + "/" + group.ID
+		if len(group.Servers) > 0 || warned[id] || !service.partitioned {
+			return
+		}
+		warned[id] = true
+		v.add(true, d, "", "%s have no eligible server under the rules [%s]: their last owners keep them", what, group.ID)
+	}
+	for _, d := range Sorted(v.set.documents) {
+		service := v.set.services[d.Spec.Service]
+		if service == nil || !service.partitioned {
+			continue
+		}
+		warn(d, service, v.set.DefaultGroup(d.Spec.Service), "keys without labels")
+		if d.Kind != KindKeyLabels {
+			continue
+		}
+		example := d.Spec.Key + d.Spec.Prefix + strings.NewReplacer("*", "", "?", "x").Replace(d.Spec.Pattern)
+		warn(d, service, v.set.GroupOf(d.Spec.Service, example), fmt.Sprintf("keys of %s", d.Key()))
+	}
+}
