Add load balancing policies and the admission controller

The scheduler is a pure core per service: adaptive windows, deadline check, classes, deficit round robin and pinned queues.

--- /dev/null
+++ b/internal/admission/controller_test.go
@@ -0,0 +1,187 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+const testService topology.ServiceName = "agenda"
+
+func servers(n int) []ServerConfig {
+	var out []ServerConfig
+	for i := range n {
+		out = append(out, ServerConfig{Name: topology.ServerName(fmt.Sprintf("s%d", i))})
+	}
+	return out
+}
+
+func newController(t *testing.T, config ServiceConfig) *Controller {
+	t.Helper()
+	config.Name = testService
+	c := New([]ServiceConfig{config}, 1)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func kindOf(err error) apierror.Kind {
+	if err == nil {
+		return ""
+	}
+	return apierror.From(err).Kind
+}
+
+// occupy takes every place that the controller gives without waiting.
+func occupy(t *testing.T, c *Controller, server topology.ServerName) []Ticket {
+	t.Helper()
+	var held []Ticket
+	for {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		ticket, err := c.Admit(ctx, Request{Service: testService, Caller: "holder", Class: ClassLookup, Server: server}, nil)
+		cancel()
+		if err != nil {
+			return held
+		}
+		held = append(held, ticket)
+	}
+}
+
+// Guards against requests that are sent, or kept waiting, although their
+// deadline cannot be met.
+func TestUnreachableDeadlineIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newController(t, ServiceConfig{Servers: servers(1)})
+		ctx := t.Context()
+		for range 50 { // teaches the usual latency
+			ticket, err := c.Admit(ctx, Request{Service: testService, Caller: "a"}, nil)
+			assert.NilError(t, err)
+			time.Sleep(20 * time.Millisecond)
+			ticket.Done(OutcomeOK, 20*time.Millisecond)
+		}
+		held := occupy(t, c, "")
+		for _, left := range []time.Duration{-time.Millisecond, 0, 15 * time.Millisecond} {
+			start := time.Now()
+			before := c.InFlight(testService)["s0"]
+			_, err := c.Admit(ctx, Request{Service: testService, Caller: "a", Deadline: start.Add(left)}, nil)
+			assert.Equal(t, kindOf(err), apierror.KindDeadline, "deadline in %v", left)
+			assert.Equal(t, time.Since(start), time.Duration(0))
+			assert.Equal(t, c.InFlight(testService)["s0"], before)
+			assert.Equal(t, apierror.From(err).Answer().Executed, apierror.ExecutedNo)
+		}
+		for _, ticket := range held {
+			ticket.Done(OutcomeOK, 20*time.Millisecond)
+		}
+	})
+}
+
+// Guards against bookings that wait behind other classes, and against lower
+// classes that never get a turn.
+func TestClassOrderWithoutStarvation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newController(t, ServiceConfig{Servers: servers(1), MaxWait: time.Hour})
+		held := occupy(t, c, "s0")
+		served := make(chan Class, 300)
+		var group conc.WaitGroup
+		for _, class := range []Class{ClassDownload, ClassLookup, ClassBooking} {
+			for range 100 {
+				group.Go(func() {
+					ticket, err := c.Admit(t.Context(), Request{Service: testService, Caller: "a", Class: class}, nil)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					served <- class
+					time.Sleep(10 * time.Millisecond)
+					ticket.Done(OutcomeOK, 10*time.Millisecond)
+				})
+			}
+			synctest.Wait()
+		}
+		for _, ticket := range held {
+			ticket.Done(OutcomeOK, 10*time.Millisecond)
+		}
+		group.Wait()
+		close(served)
+		var order []Class
+		for class := range served {
+			order = append(order, class)
+		}
+		counts := [classCount]int{}
+		for _, class := range order[:110] {
+			counts[class]++
+		}
+		assert.Assert(t, counts[ClassBooking] >= 94, "bookings among the first 110: %d", counts[ClassBooking])
+		assert.Assert(t, counts[ClassLookup] >= 3 && counts[ClassDownload] >= 3, "a lower class starves: %v", counts)
+		assert.Equal(t, len(order), 300)
+	})
+}
+
+// Guards against work that a leaving server still gets: at once for new
+// requests, pinned and not, and for those already waiting.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, leave := range []func(*Controller){
+			func(c *Controller) { c.SetState(testService, "s0", ServerLeaving) },
+			func(c *Controller) { c.SetState(testService, "s0", ServerGone) },
+			func(c *Controller) { c.SetServers(testService, servers(2)[1:]) },
+		} {
+			c := newController(t, ServiceConfig{Servers: servers(2)})
+			held := occupy(t, c, "s0")
+			var group conc.WaitGroup
+			group.Go(func() {
+				_, err := c.Admit(t.Context(), Request{Service: testService, Caller: "w", Server: "s0"}, nil)
+				if kindOf(err) != apierror.KindNoUpstream {
+					t.Errorf("a waiting request of the leaving server got %v", err)
+				}
+			})
+			synctest.Wait()
+			leave(c)
+			group.Wait()
+			_, err := c.Admit(t.Context(), Request{Service: testService, Caller: "a", Server: "s0"}, nil)
+			assert.Equal(t, kindOf(err), apierror.KindNoUpstream)
+			for _, ticket := range held {
+				ticket.Done(OutcomeOK, time.Millisecond)
+			}
+			for range 20 {
+				ticket, err := c.Admit(t.Context(), Request{Service: testService, Caller: "a"}, nil)
+				assert.NilError(t, err)
+				assert.Equal(t, ticket.Server(), topology.ServerName("s1"))
+				ticket.Done(OutcomeOK, time.Millisecond)
+			}
+			_, err = c.Admit(t.Context(), Request{Service: testService, Caller: "a"}, []topology.ServerName{"s1"})
+			assert.Equal(t, kindOf(err), apierror.KindNoUpstream)
+		}
+	})
+}
+
+func BenchmarkAdmitDone(b *testing.B) {
+	for _, pinned := range []bool{false, true} {
+		for _, n := range []int{8, 1900} {
+			b.Run(fmt.Sprintf("pinned=%v/servers=%d", pinned, n), func(b *testing.B) {
+				c := New([]ServiceConfig{{Name: testService, Servers: servers(n)}}, 1)
+				defer c.Close()
+				request := Request{Service: testService, Caller: "a", Class: ClassLookup, Deadline: time.Now().Add(time.Hour)}
+				if pinned {
+					request.Server = "s1"
+				}
+				ctx := context.Background()
+				b.ReportAllocs()
+				for b.Loop() {
+					ticket, err := c.Admit(ctx, request, nil)
+					if err != nil {
+						b.Fatal(err)
+					}
+					ticket.Done(OutcomeOK, time.Millisecond)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/admission/limit.go
@@ -0,0 +1,156 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// window is an adaptive concurrency limit. It starts from the host's share of
+// the slots, grows above the share while there is demand and the servers show
+// no queueing, returns to it when they do, and falls below it only when they
+// shed or time out.
+type window struct {
+	limit    float64
+	share    float64 // this host's share of the slots, with overcommit
+	ceiling  float64
+	cutAt    time.Duration // last multiplicative decrease
+	demanded bool          // a request waited for this window since the last Done
+}
+
+// The constants of the window. They are compared in docs/load.md.
+const (
+	// overcommit keeps about one request queued at each server, so that a slot
+	// does not idle while the next request travels.
+	overcommit = 1.75
+	// minWindow is the lowest limit; a limit below 1 is a pause between
+	// requests.
+	minWindow = 0.1
+	// ceilingFactor bounds the limit at this multiple of the slots.
+	ceilingFactor = 4
+	// decrease is applied at most once per latency: one burst of sheds is one
+	// signal.
+	decrease = 0.85
+	// growBelow and shrinkAbove are slowdowns (latency relative to the latency
+	// without queueing).
+	growBelow   = 1.8
+	shrinkAbove = 2.5
+)
+
+func newWindow(slots float64, hosts int, floor float64) window {
+	var w window
+	w.setShare(slots, hosts, floor)
+	w.limit = w.share
+	return w
+}
+
+// setShare adapts the share to a new number of slots or hosts.
+func (w *window) setShare(slots float64, hosts int, floor float64) {
+	share := max(slots*overcommit/float64(max(hosts, 1)), floor)
+	if w.share > 0 && w.limit > 0 {
+		w.limit *= share / w.share
+	}
+	w.share = share
+	w.ceiling = max(slots*ceilingFactor, 1)
+	w.limit = min(max(w.limit, minWindow), w.ceiling)
+}
+
+// fits tells whether one more request may be sent beside inFlight others.
+func (w *window) fits(inFlight int) bool {
+	return inFlight == 0 || float64(inFlight)+1 <= w.limit
+}
+
+// pause is the time to wait after a request when the limit is below one.
+func (w *window) pause(latency time.Duration) time.Duration {
+	if w.limit >= 1 {
+		return 0
+	}
+	return time.Duration(float64(latency) * (1/w.limit - 1))
+}
+
+func (w *window) onOutcome(now time.Duration, outcome Outcome, slowdown float64, latency time.Duration) {
+	switch outcome {
+	case OutcomeShed, OutcomeTimeout:
+		if now-w.cutAt >= latency || w.cutAt == 0 {
+			w.cutAt = now
+			w.limit = max(w.limit*decrease, minWindow)
+		}
+	case OutcomeOK:
+		step := 1 / max(w.limit, 1)
+		switch {
+		case w.limit > w.share && slowdown > shrinkAbove:
+			w.limit = max(w.limit-step, w.share)
+		case w.limit < w.share && w.demanded, w.demanded && slowdown < growBelow:
+			w.limit = min(w.limit+step*growthRate(w), w.ceiling)
+		}
+		w.demanded = false
+	}
+}
+
+// growthRate slows the growth below one request at a time, where each step is
+// a large relative change and follows a shed.
+func growthRate(w *window) float64 {
+	if w.limit < 1 {
+		return 0.05
+	}
+	return 1
+}
+
+// estimator tracks a latency: a moving mean, its deviation, and the latency
+// without queueing.
+type estimator struct {
+	mean, deviation float64 // nanoseconds
+	baseline        float64
+	batchSum        float64
+	batchCount      int
+	baselineAt      time.Duration
+}
+
+const (
+	meanGain  = 0.05
+	batchSize = 16
+	// baselineDrift lets the baseline rise by 1 % per second, so that it
+	// follows a service that became slower for good.
+	baselineDrift = 0.01
+)
+
+func (e *estimator) observe(now, latency time.Duration) {
+	value := float64(latency)
+	if e.mean == 0 {
+		e.mean, e.deviation = value, value/2
+	}
+	e.deviation += meanGain * (math.Abs(value-e.mean) - e.deviation)
+	e.mean += meanGain * (value - e.mean)
+	e.batchSum += value
+	e.batchCount++
+	if e.batchCount < batchSize {
+		return
+	}
+	batch := e.batchSum / float64(e.batchCount)
+	e.batchSum, e.batchCount = 0, 0
+	if e.baseline > 0 {
+		batch = min(batch, e.baseline*(1+baselineDrift*(now-e.baselineAt).Seconds()))
+	}
+	e.baseline, e.baselineAt = batch, now
+}
+
+// slowdown is the latency relative to the baseline.
+func (e *estimator) slowdown(latency time.Duration) float64 {
+	if e.baseline <= 0 {
+		return 1
+	}
+	return float64(latency) / e.baseline
+}
+
+// patience is the time after which a request is unusually late, as in the
+// retransmission timer of TCP.
+func (e *estimator) patience() time.Duration {
+	if e.mean == 0 {
+		return defaultPatience
+	}
+	return max(time.Duration(e.mean+6*e.deviation), minPatience)
+}
+
+const (
+	minPatience     = 50 * time.Millisecond
+	defaultPatience = time.Second
+)
--- /dev/null
+++ b/internal/balance/policy.go
@@ -0,0 +1,176 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Random chooses any free server. It is a baseline for comparison.
+type Random struct{}
+
+// Choose implements Policy.
+func (Random) Choose(view *View, random *rand.Rand) int {
+	return pickLowest(view, random, func(*View, *Server) float64 { return 0 })
+}
+
+// RoundRobin takes the free servers in turn. It is a baseline for comparison.
+type RoundRobin struct{ next int }
+
+// Choose implements Policy.
+func (r *RoundRobin) Choose(view *View, _ *rand.Rand) int {
+	for range view.Servers {
+		i := r.next % len(view.Servers)
+		r.next = i + 1
+		if view.Servers[i].Free() {
+			return i
+		}
+	}
+	return -1
+}
+
+// LeastInFlight chooses the server with the fewest of this host's own requests.
+type LeastInFlight struct{}
+
+// Choose implements Policy.
+func (LeastInFlight) Choose(view *View, random *rand.Rand) int {
+	return pickLowest(view, random, ownLoad)
+}
+
+func ownLoad(_ *View, s *Server) float64 {
+	return (float64(s.InFlight) + 1) / s.weight()
+}
+
+// reportMaxAge is the age from which a report is ignored: with 2 slots and
+// service times of tens of milliseconds a server's queue has turned over many
+// times by then.
+const reportMaxAge = 2 * time.Second
+
+// observationMaxAge is the age from which an own latency estimate no longer
+// counts, so that a server that was slow once is tried again.
+const observationMaxAge = 2 * time.Second
+
+// estimatedLoad combines the reported load with the own observation. The own
+// observation outranks the report: a low report never lowers the load that the
+// own requests and their latency show.
+func estimatedLoad(view *View, s *Server) float64 {
+	load := float64(s.InFlight)
+	if s.HasReport && view.Now-s.ReportedAt < reportMaxAge {
+		load = max(load, s.Reported)
+	}
+	return (max(load, observedLoad(view, s)) + 1) / s.weight()
+}
+
+// observedLoad is the number of requests that the own latency implies: at a
+// slowdown of n a server with k slots holds about n*k requests. Up to a
+// slowdown of 1.5 the difference is noise and nothing is implied.
+func observedLoad(view *View, s *Server) float64 {
+	if s.Slowdown <= 1.5 || view.Now-s.ObservedAt >= observationMaxAge {
+		return 0
+	}
+	fresh := 1 - float64(view.Now-s.ObservedAt)/float64(observationMaxAge)
+	return (s.Slowdown - 1) * float64(max(s.Slots, 1)) * fresh
+}
+
+// TwoChoices draws two free servers and takes the one with the lower load by
+// shared reports and own observation.
+type TwoChoices struct{}
+
+// Choose implements Policy.
+func (TwoChoices) Choose(view *View, random *rand.Rand) int {
+	first := drawFree(view, random, -1)
+	if first < 0 {
+		return -1
+	}
+	second := drawFree(view, random, first)
+	if second < 0 {
+		return first
+	}
+	if estimatedLoad(view, &view.Servers[second]) < estimatedLoad(view, &view.Servers[first]) {
+		return second
+	}
+	return first
+}
+
+// drawFree draws a free server other than skip. A few blind draws are tried
+// before the whole list is counted.
+func drawFree(view *View, random *rand.Rand, skip int) int {
+	n := len(view.Servers)
+	for range min(n, 4) {
+		if i := random.IntN(n); i != skip && view.Servers[i].Free() {
+			return i
+		}
+	}
+	chosen, seen := -1, 0
+	for i := range view.Servers {
+		if i == skip || !view.Servers[i].Free() {
+			continue
+		}
+		seen++
+		if random.IntN(seen) == 0 {
+			chosen = i
+		}
+	}
+	return chosen
+}
+
+// Probing ranks servers by own in-flight requests times the own latency
+// estimate. A server without a fresh estimate counts as fast and is thereby
+// probed with a real request.
+type Probing struct{}
+
+// Choose implements Policy.
+func (Probing) Choose(view *View, random *rand.Rand) int {
+	return pickLowest(view, random, probeScore)
+}
+
+func probeScore(view *View, s *Server) float64 {
+	return (float64(s.InFlight) + 1 + observedLoad(view, s)) / s.weight()
+}
+
+// Leased divides the slots of all servers among the live hosts by rank. A host
+// uses its own slots first and borrows others when they are taken, by the
+// estimated load.
+type Leased struct{}
+
+// Choose implements Policy.
+func (Leased) Choose(view *View, random *rand.Rand) int {
+	return pickLowest(view, random, leasedScore(view))
+}
+
+// borrowPenalty ranks a borrowed slot behind a leased one unless the leased
+// server is visibly slower.
+const borrowPenalty = 1.5
+
+func leasedScore(view *View) func(*View, *Server) float64 {
+	n := len(view.Servers)
+	return func(view *View, s *Server) float64 {
+		score := estimatedLoad(view, s)
+		if s.InFlight < leasedSlots(view, s, n) {
+			return score
+		}
+		return score + borrowPenalty/s.weight()
+	}
+}
+
+// leasedSlots counts the slots of s that belong to this host. Slot k of server
+// i is number k*n+i; the numbers are dealt to the hosts in turn.
+func leasedSlots(view *View, s *Server, n int) int {
+	hosts := max(view.Hosts, 1)
+	index := indexOf(view, s)
+	count := 0
+	for k := range max(s.Slots, 1) {
+		if (k*n+index)%hosts == view.Host%hosts {
+			count++
+		}
+	}
+	return count
+}
+
+func indexOf(view *View, s *Server) int {
+	for i := range view.Servers {
+		if &view.Servers[i] == s {
+			return i
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/balance/view.go
@@ -0,0 +1,104 @@
+// Package balance holds the policies that choose an upstream server. They are
+// pure functions over a view of the servers: time and randomness are arguments.
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// State tells whether a server may get new requests.
+type State uint8
+
+// The states of a server.
+const (
+	StateReady   State = iota
+	StateCold          // starts up; gets a growing share
+	StateLeaving       // finishes its requests, gets no new ones
+	StateEjected       // taken out because it behaves worse than the others
+)
+
+// Server is what one host knows of a server.
+type Server struct {
+	Name             topology.ServerName
+	AvailabilityZone topology.AvailabilityZone
+	State            State
+	// Slots is the number of requests that the server runs at once.
+	Slots int
+	// InFlight is this host's own number of requests at the server; Limit is
+	// how many of them it may have.
+	InFlight int
+	Limit    float64
+	// Slowdown is this host's estimate of the server's latency, relative to
+	// the latency without queueing. Zero means no observation.
+	Slowdown float64
+	// ObservedAt is when Slowdown was last updated.
+	ObservedAt time.Duration
+	// Reported is the number of requests at the server, other hosts' included,
+	// as last reported for ReportedAt. It lags and may be false.
+	Reported   float64
+	ReportedAt time.Duration
+	HasReport  bool
+	// Weight is the server's share relative to the others, 1 if unset; a cold
+	// server's grows from ColdWeight to its full value.
+	Weight float64
+	// Blocked excludes the server from this choice only: it was already tried,
+	// or waits for its pacing interval.
+	Blocked bool
+}
+
+// Usable tells whether the server may get new requests at all.
+func (s *Server) Usable() bool { return s.State == StateReady || s.State == StateCold }
+
+// Free tells whether the server may get one more request now.
+func (s *Server) Free() bool {
+	return s.Usable() && !s.Blocked && (s.InFlight == 0 || float64(s.InFlight)+1 <= s.Limit)
+}
+
+func (s *Server) weight() float64 {
+	if s.Weight <= 0 {
+		return 1
+	}
+	return s.Weight
+}
+
+// View is the list of servers of one service with the time of the choice.
+type View struct {
+	Servers []Server
+	Now     time.Duration
+	// Host is this host's rank among the live hosts, Hosts their number.
+	Host, Hosts int
+	// AvailabilityZone is this host's own.
+	AvailabilityZone topology.AvailabilityZone
+}
+
+// Policy chooses a server.
+type Policy interface {
+	// Choose returns the index of a free server in view, or -1 if none is.
+	Choose(view *View, random *rand.Rand) int
+}
+
+// pickLowest returns the free server with the lowest score; equal scores are
+// decided at random, so that hosts with equal views do not herd.
+func pickLowest(view *View, random *rand.Rand, score func(*View, *Server) float64) int {
+	best, ties, lowest := -1, 0, 0.0
+	for i := range view.Servers {
+		s := &view.Servers[i]
+		if !s.Free() {
+			continue
+		}
+		value := score(view, s)
+		switch {
+		case best < 0 || value < lowest:
+			best, ties, lowest = i, 1, value
+		case value == lowest:
+			ties++
+			if random.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
