--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -292,12 +292,12 @@
 }
 
 func refusalError(kind refusal, service topology.ServiceName) error {
+	detail := "the queue of service %s is too long"
 	switch kind {
 	case refusedDeadline:
-		return apierror.New(apierror.KindDeadline, "service %s cannot answer before the deadline", service)
+		detail = "service %s cannot answer before the deadline"
 	case refusedNoUpstream:
-		return apierror.New(apierror.KindNoUpstream, "no server of service %s takes the request", service)
-	default:
-		return apierror.New(apierror.KindOverloaded, "the queue of service %s is too long", service)
+		detail = "no server of service %s takes the request"
 	}
+	return apierror.New(kind.kind(), detail, service)
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,9 +23,10 @@
 	heapIndex  int
 
 	resolved bool
-	server   *server // granted
-	kind     refusal // refused
-	ready    chan struct{}
+	server   *server       // granted
+	kind     refusal       // refused
+	ready    chan struct{} // closed with the verdict, by the Controller
+	verdict  func()        // called with the verdict, by the Scheduler
 }
 
 // flow is one caller's queue within a class.
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cassiasill/cassiasill/internal/apierror"
 	"github.com/cassiasill/cassiasill/internal/balance"
 	"github.com/cassiasill/cassiasill/internal/topology"
 )
@@ -20,6 +21,18 @@
 	refusedNoUpstream
 )
 
+// kind is the refusal's error kind.
+func (r refusal) kind() apierror.Kind {
+	switch r {
+	case refusedDeadline:
+		return apierror.KindDeadline
+	case refusedNoUpstream:
+		return apierror.KindNoUpstream
+	default:
+		return apierror.KindOverloaded
+	}
+}
+
 // server is one upstream server as the scheduler tracks it.
 type server struct {
 	name     topology.ServerName
