Ignore timeouts of requests sent with little time left

Under overload requests leave the queue shortly before their deadline; some time out by ordinary variation, and each cut the windows of a healthy server until little was sent at all. Change: a timeout counts against a server only if the request had the mean latency plus two deviations.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -150,6 +150,9 @@
 	return max(time.Duration(e.mean+6*e.deviation), minPatience)
 }
 
+// late is the time that all but a few requests take.
+func (e *estimator) late() time.Duration { return time.Duration(e.mean + 2*e.deviation) }
+
 const (
 	minPatience     = 50 * time.Millisecond
 	defaultPatience = time.Second
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -374,6 +374,9 @@
 }
 
 func (s *scheduler) learn(now time.Duration, srv *server, r *request, shared, wasStalled bool, outcome Outcome, latency time.Duration) {
+	if outcome == OutcomeTimeout && latency < s.latencies[r.class].late() {
+		return // sent with little time left: it tells nothing about the server
+	}
 	bad := 0.0
 	if outcome != OutcomeOK {
 		bad = 1
