--- a/internal/invariant/owner.go
+++ b/internal/invariant/owner.go
@@ -11,7 +11,7 @@
 // Violation is one breach of a guarantee.
 type Violation struct {
 	At        time.Time
-	Guarantee string
+	Guarantee Guarantee
 	Detail    string
 }
 
@@ -127,7 +127,7 @@
 	return append([]Violation(nil), c.violations...)
 }
 
-func (c *OwnerChecker) add(at time.Time, guarantee, format string, args ...any) {
+func (c *OwnerChecker) add(at time.Time, guarantee Guarantee, format string, args ...any) {
 	if len(c.violations) < maxViolations {
 		c.violations = append(c.violations, Violation{At: at, Guarantee: guarantee, Detail: fmt.Sprintf(format, args...)})
 	}
--- a/internal/invariant/requests.go
+++ b/internal/invariant/requests.go
@@ -22,15 +22,6 @@
 	InForce          Guarantee = "G8 accepted change in force"
 )
 
-// Violation is one broken guarantee.
-type Violation struct {
-	Guarantee Guarantee
-	Detail    string
-}
-
-// String returns the guarantee and the detail.
-func (v Violation) String() string { return string(v.Guarantee) + ": " + v.Detail }
-
 // Execution is one run of a request on a server, by the server's own account.
 type Execution struct {
 	RequestID string
