--- a/internal/apierror/problem.go
+++ b/internal/apierror/problem.go
@@ -11,6 +11,7 @@
 const (
 	HeaderRequestID = "Cassiasill-Request-Id"
 	HeaderExecuted  = "Cassiasill-Executed"
+	HeaderKind      = "Cassiasill-Error-Kind"
 )
 
 // Problem is the RFC 9457 body of an error answer.
@@ -32,6 +33,7 @@
 	header.Set("Content-Type", "application/problem+json")
 	header.Set("Cache-Control", "no-store")
 	header.Set(HeaderExecuted, string(answer.Executed))
+	header.Set(HeaderKind, string(e.Kind))
 	if requestID != "" {
 		header.Set(HeaderRequestID, requestID)
 	}
--- /dev/null
+++ b/internal/host/admin.go
@@ -0,0 +1,67 @@
+package host
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/kernel"
+)
+
+// adminService serves health, metrics and the operators' interface.
+type adminService struct {
+	host   *Host
+	server *http.Server
+}
+
+func newAdminService(h *Host) *adminService { return &adminService{host: h} }
+
+func (a *adminService) Name() string       { return serviceAdmin }
+func (a *adminService) Requires() []string { return []string{serviceDeclarations} }
+
+// Start serves the admin address. It stops after the callers' address, so that
+// the balancer can read until the end that this host is not ready.
+func (a *adminService) Start(ctx context.Context, registry *kernel.Registry) error {
+	listener, err := a.host.options.Network.Listen(ctx, a.host.settings.Host.Addresses.Admin)
+	if err != nil {
+		return err
+	}
+	router := httprouter.New()
+	router.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { reply(w, http.StatusOK, "ok") })
+	router.GET("/readyz", a.ready)
+	router.Handler(http.MethodGet, "/metrics", a.host.metrics.Handler())
+	a.server = &http.Server{Handler: router, ReadHeaderTimeout: 5 * time.Second}
+	registry.Go(a.Name(), func(context.Context) error { return serve(a.server, listener) })
+	a.host.log.Info("admin: serving", zap.String("address", listener.Addr().String()))
+	return nil
+}
+
+func (a *adminService) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if ok, why := a.host.Ready(); !ok {
+		reply(w, http.StatusServiceUnavailable, why)
+		return
+	}
+	reply(w, http.StatusOK, "ok")
+}
+
+func reply(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	// The balancer may be gone; there is nobody else to tell.
+	_, _ = io.WriteString(w, text+"\n")
+}
+
+// Stop closes the admin address and ends the collection of metrics.
+func (a *adminService) Stop(ctx context.Context) error {
+	if a.server == nil {
+		return nil
+	}
+	if err := a.server.Shutdown(ctx); err != nil {
+		return err
+	}
+	return a.host.metrics.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/host/callers.go
@@ -0,0 +1,183 @@
+package host
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/admission"
+	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/proxy"
+	"github.com/cassiasill/cassiasill/internal/settings"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+const (
+	// readinessDelay is how long a host that shuts down goes on accepting
+	// requests after it reported not ready, so that the balancer notices first.
+	readinessDelay = 500 * time.Millisecond
+	// readHeaderTimeout bounds connections that never send a request.
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout closes unused connections of callers.
+	idleTimeout = 90 * time.Second
+)
+
+// callersService answers callers.
+type callersService struct {
+	host      *Host
+	admission *admission.Controller
+	handler   *proxy.Handler
+	server    *http.Server
+	draining  atomic.Bool
+}
+
+func newCallersService(h *Host) *callersService {
+	c := &callersService{host: h}
+	c.admission = admission.New(admissionServices(h.settings), h.options.Seed)
+	c.handler = proxy.New(proxy.Options{
+		Services: proxyServices(h.settings), Resolver: h.routes.table, Admitter: c.admission,
+		Limits: proxyLimits(h.settings.Limits), Logger: h.log, Dial: h.options.Network.Dial,
+	})
+	return c
+}
+
+func admissionServices(s *settings.Settings) []admission.ServiceConfig {
+	var out []admission.ServiceConfig
+	for _, service := range s.Services {
+		config := admission.ServiceConfig{Name: service.Name, Slots: service.Slots, AvailabilityZone: s.Host.AvailabilityZone}
+		for _, server := range service.Servers {
+			config.Servers = append(config.Servers, admission.ServerConfig{Name: server.Name, AvailabilityZone: server.AvailabilityZone})
+		}
+		out = append(out, config)
+	}
+	return out
+}
+
+func proxyServices(s *settings.Settings) []proxy.Service {
+	var out []proxy.Service
+	for _, service := range s.Services {
+		out = append(out, proxy.Service{
+			Name: service.Name, Keyed: service.DividedByKey, KeyHeader: service.KeyHeader,
+			CallerHeader: service.CallerHeader, FencingChecked: service.Fencing == settings.FencingChecked,
+			Routes: proxyRoutes(service), Servers: service.Servers,
+		})
+	}
+	return out
+}
+
+// classes maps the settings' classes to those of admission.
+var classes = map[settings.Class]admission.Class{
+	settings.ClassBooking:  admission.ClassBooking,
+	settings.ClassLookup:   admission.ClassLookup,
+	settings.ClassDownload: admission.ClassDownload,
+}
+
+// proxyRoutes returns the routes with the longest prefix first, because the
+// proxy takes the first that matches. The last route is the settings' default.
+func proxyRoutes(service settings.Service) []proxy.Route {
+	routes := slices.Clone(service.Routes)
+	slices.SortStableFunc(routes, func(a, b settings.Route) int {
+		return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+	})
+	var out []proxy.Route
+	for _, r := range routes {
+		path := strings.TrimPrefix(r.PathPrefix, "/"+string(service.Name))
+		if path == "/" {
+			path = ""
+		}
+		out = append(out, proxy.Route{
+			Methods: r.Methods, Path: path, Class: classes[r.Class],
+			Repeatable: r.Repeatable, Timeout: time.Duration(r.Timeout),
+		})
+	}
+	return append(out, proxy.Route{Class: admission.ClassLookup})
+}
+
+func proxyLimits(l settings.Limits) proxy.Limits {
+	return proxy.Limits{
+		DefaultTimeout: time.Duration(l.DefaultTimeout), RequestBytes: int64(l.MaxBody),
+		HeaderBytes: int(l.MaxHeader), WaitBytes: int64(l.Buffer),
+	}
+}
+
+func (c *callersService) Name() string       { return serviceCallers }
+func (c *callersService) Requires() []string { return []string{serviceRoutes, serviceDeclarations} }
+
+// Start accepts callers.
+func (c *callersService) Start(ctx context.Context, registry *kernel.Registry) error {
+	address := c.host.settings.Host.Addresses.Callers
+	listener, err := c.host.options.Network.Listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	handler := http.Handler(c)
+	if wrap := c.host.options.WrapCallers; wrap != nil {
+		handler = wrap(handler)
+	}
+	c.server = &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: int(c.host.settings.Limits.MaxHeader),
+	}
+	registry.Go(c.Name(), func(context.Context) error { return serve(c.server, listener) })
+	registry.Go(c.Name(), c.countHosts)
+	c.host.log.Info("proxy: serving callers", zap.String("address", listener.Addr().String()))
+	return nil
+}
+
+// ServeHTTP refuses requests that this host must not route under old rules.
+func (c *callersService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !c.host.declare.follower.Fresh() {
+		apierror.Write(w, "", apierror.New(apierror.KindStale, "this host hears neither the store nor a peer"))
+		return
+	}
+	c.handler.ServeHTTP(w, r)
+}
+
+// countHosts tells admission how many hosts share the servers' slots.
+func (c *callersService) countHosts(ctx context.Context) error {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		names := []topology.HostName{c.host.settings.Host.Name}
+		for _, h := range c.host.topics.replicator.Live() {
+			names = append(names, h.Name)
+		}
+		slices.Sort(names)
+		c.admission.SetHosts(slices.Index(names, c.host.settings.Host.Name), len(names))
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Stop reports not ready, waits for the balancer, ends the requests in flight
+// and closes the connections.
+func (c *callersService) Stop(ctx context.Context) error {
+	c.draining.Store(true)
+	if c.server == nil {
+		return nil
+	}
+	timer := time.NewTimer(readinessDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	// Shutdown of the server first: it stops accepting and lets requests that
+	// are on the way in be answered; the handler then has only running ones.
+	err := c.server.Shutdown(ctx)
+	if handlerErr := c.handler.Shutdown(ctx); err == nil {
+		err = handlerErr
+	}
+	c.admission.Close()
+	return err
+}
--- /dev/null
+++ b/internal/host/declarations.go
@@ -0,0 +1,58 @@
+package host
+
+import (
+	"context"
+
+	"github.com/cassiasill/cassiasill/internal/configsync"
+	"github.com/cassiasill/cassiasill/internal/declaration"
+	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/peersync"
+	"github.com/cassiasill/cassiasill/internal/settings"
+)
+
+// declarationsService keeps the operators' declarations in force.
+type declarationsService struct {
+	host     *Host
+	follower *configsync.Follower
+	writer   *configsync.Writer
+}
+
+func newDeclarationsService(h *Host) *declarationsService {
+	d := &declarationsService{host: h}
+	inventory := inventoryOf(h.settings)
+	d.follower = configsync.NewFollower(configsync.FollowerConfig{
+		Host: h.settings.Host.Name, Store: h.options.Store, Bus: h.topics.replicator, Inventory: inventory,
+		Watching: d.watching, PeerHeard: h.topics.replicator.LastContact, Log: h.log,
+	})
+	d.writer = configsync.NewWriter(h.options.Store, inventory, d.follower.Install, h.log)
+	return d
+}
+
+// inventoryOf lists the services and servers that declarations may name.
+func inventoryOf(s *settings.Settings) declaration.Inventory {
+	var out declaration.Inventory
+	for _, service := range s.Services {
+		out.Services = append(out.Services, declaration.Service{Name: service.Name, Partitioned: service.DividedByKey, Servers: service.Servers})
+	}
+	return out
+}
+
+// watching reports whether this host keeps a watch on the store: the relays of
+// each availability zone do, so that watches do not grow with the hosts.
+func (d *declarationsService) watching() bool {
+	replicator := d.host.topics.replicator
+	return peersync.IsRelay(append(replicator.Live(), d.host.self()), d.host.self())
+}
+
+func (d *declarationsService) Name() string       { return serviceDeclarations }
+func (d *declarationsService) Requires() []string { return []string{serviceTopics} }
+
+// Start follows the store and the peers.
+func (d *declarationsService) Start(_ context.Context, registry *kernel.Registry) error {
+	registry.Go(d.Name(), d.follower.Run)
+	registry.Go(d.Name(), d.writer.Run)
+	return nil
+}
+
+// Stop has nothing to finish: an accepted change is in the store.
+func (d *declarationsService) Stop(context.Context) error { return nil }
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,143 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/hostlist"
+	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/settings"
+	"github.com/cassiasill/cassiasill/internal/store"
+	"github.com/cassiasill/cassiasill/internal/store/gateway"
+	"github.com/cassiasill/cassiasill/internal/telemetry"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// stopTimeout bounds how long each service may take to stop; the longest is the
+// end of the requests in flight.
+const stopTimeout = 30 * time.Second
+
+// Network is how a host reaches others and is reached.
+type Network interface {
+	Listen(ctx context.Context, address string) (net.Listener, error)
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// realNetwork is the machine's own network.
+type realNetwork struct{ net.Dialer }
+
+func (*realNetwork) Listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(ctx, "tcp", address)
+}
+
+func (n *realNetwork) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return n.DialContext(ctx, network, address)
+}
+
+// Options configure a Host.
+type Options struct {
+	Settings *settings.Settings
+	Log      *zap.Logger
+	// Network replaces the machine's network if not nil.
+	Network Network
+	// Store replaces the store that the settings name if not nil.
+	Store store.Store
+	// Seed makes random choices repeatable; zero draws one.
+	Seed uint64
+	// WrapCallers wraps the handler of the callers' address if not nil.
+	WrapCallers func(http.Handler) http.Handler
+}
+
+// Host is one entry host.
+type Host struct {
+	options  Options
+	settings *settings.Settings
+	log      *zap.Logger
+	kernel   *kernel.Kernel
+	metrics  *telemetry.Metrics
+	topics   *topicsService
+	leader   *leadershipService
+	owner    *ownershipService
+	declare  *declarationsService
+	routes   *routesService
+	callers  *callersService
+	admin    *adminService
+}
+
+// New assembles a host; Run starts it.
+func New(options Options) (*Host, error) {
+	if options.Network == nil {
+		options.Network = &realNetwork{}
+	}
+	if options.Seed == 0 {
+		options.Seed = rand.Uint64()
+	}
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	s := options.Settings
+	h := &Host{
+		options: options, settings: s, metrics: metrics,
+		log: options.Log.With(zap.String("host", string(s.Host.Name))),
+	}
+	if options.Store == nil {
+		h.options.Store = gateway.New(&http.Client{Transport: h.transport()}, time.Duration(s.Store.Timeout), s.Store.Endpoints...)
+	}
+	h.topics = newTopicsService(h)
+	h.leader = newLeadershipService(h)
+	h.owner = newOwnershipService(h)
+	h.declare = newDeclarationsService(h)
+	h.routes = newRoutesService(h)
+	h.callers = newCallersService(h)
+	h.admin = newAdminService(h)
+	// The callers' service is last: it stops first, while the admin address
+	// still answers that the host is not ready.
+	h.kernel = kernel.New(h.log, stopTimeout, h.topics, h.leader, h.owner, h.declare, h.routes, h.admin, h.callers)
+	return h, nil
+}
+
+// Run starts the host and returns when ctx ends and it has stopped, or when a
+// service failed. The onReady function is called when all have started.
+func (h *Host) Run(ctx context.Context, onReady func()) error { return h.kernel.Run(ctx, onReady) }
+
+// Ready reports whether the host should get requests from the balancer, and if
+// not, why.
+func (h *Host) Ready() (bool, string) {
+	switch {
+	case h.callers.draining.Load():
+		return false, "shutting down"
+	case !h.declare.follower.Fresh():
+		return false, "neither the store nor a peer confirms the declarations"
+	case !h.routes.known():
+		return false, "no routes yet"
+	}
+	return true, ""
+}
+
+// self returns this host as others see it.
+func (h *Host) self() topology.Host {
+	s := h.settings.Host
+	return topology.Host{Name: s.Name, AvailabilityZone: s.AvailabilityZone, PeerAddress: s.Addresses.Peer}
+}
+
+// lister returns the list of hosts.
+func (h *Host) lister() hostlist.Lister { return hostlist.Static(h.settings.Hosts) }
+
+// transport returns an HTTP transport over the host's network.
+func (h *Host) transport() *http.Transport {
+	return &http.Transport{
+		DialContext:         h.options.Network.Dial,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     time.Minute,
+	}
+}
+
+// random returns a source that is different for each purpose.
+func (h *Host) random(purpose uint64) rand.Source { return rand.NewPCG(h.options.Seed, purpose) }
--- /dev/null
+++ b/internal/host/topics.go
@@ -0,0 +1,106 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/peer"
+	"github.com/cassiasill/cassiasill/internal/peer/peerpb"
+	"github.com/cassiasill/cassiasill/internal/peersync"
+	"github.com/cassiasill/cassiasill/internal/settings"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// The names under which the services of a host find each other.
+const (
+	serviceTopics       = "topics"
+	serviceLeadership   = "leadership"
+	serviceOwnership    = "ownership"
+	serviceDeclarations = "declarations"
+	serviceRoutes       = "routes"
+	serviceCallers      = "callers"
+	serviceAdmin        = "admin"
+)
+
+const (
+	// checkedWait is how long a pull is held open when all servers check
+	// fencing tokens: routes then need no confirmed age.
+	checkedWait = time.Second
+	// uncheckedWait keeps the age of routes, which adds up over three pulls,
+	// well below topology.SnapshotValidity.
+	uncheckedWait = 75 * time.Millisecond
+)
+
+// topicsService runs the peer server and the replication of topics.
+type topicsService struct {
+	host       *Host
+	client     *peer.Client
+	replicator *peersync.Replicator
+	server     *http.Server
+}
+
+func newTopicsService(h *Host) *topicsService {
+	t := &topicsService{host: h, client: peer.NewClient(h.options.Network.Dial, nil)}
+	t.replicator = peersync.NewReplicator(peersync.Options{
+		Self: h.self(), Hosts: func() []topology.Host { return h.settings.Hosts },
+		Wait: syncWait(h.settings), Puller: t.client, Log: h.log,
+	})
+	return t
+}
+
+func syncWait(s *settings.Settings) time.Duration {
+	for _, service := range s.Services {
+		if service.DividedByKey && service.Fencing == settings.FencingUnchecked {
+			return uncheckedWait
+		}
+	}
+	return checkedWait
+}
+
+func (t *topicsService) Name() string       { return serviceTopics }
+func (t *topicsService) Requires() []string { return nil }
+
+// Start serves peers and begins to pull.
+func (t *topicsService) Start(ctx context.Context, registry *kernel.Registry) error {
+	listener, err := t.host.options.Network.Listen(ctx, t.host.settings.Host.Addresses.Peer)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peer.NewHandler(t.host.leader, t.replicator, noKeeper{}))
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	t.server = &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: 5 * time.Second}
+	registry.Go(t.Name(), func(context.Context) error { return serve(t.server, listener) })
+	registry.Go(t.Name(), t.replicator.Run)
+	t.host.log.Info("peersync: serving peers", zap.String("address", listener.Addr().String()))
+	return nil
+}
+
+// Stop closes the peer server at once: peers ask another host.
+func (t *topicsService) Stop(context.Context) error {
+	t.client.Close()
+	return t.server.Close()
+}
+
+// serve runs server until it is closed.
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// noKeeper refuses claims of idempotency keys.
+type noKeeper struct{}
+
+func (noKeeper) Reserve(context.Context, *peerpb.ReserveRequest) (*peerpb.ReserveResponse, error) {
+	return nil, errors.New("this host keeps no idempotency keys")
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -46,8 +46,11 @@
 	clients map[string]peerpbconnect.PeerServiceClient
 }
 
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client that uses HTTP/2, with TLS if config is not nil.
-func NewClient(config *tls.Config) *Client {
+func NewClient(dial DialFunc, config *tls.Config) *Client {
 	protocols := new(http.Protocols)
 	scheme := "http"
 	if config != nil {
@@ -57,7 +60,11 @@
 		protocols.SetUnencryptedHTTP2(true)
 	}
 	transport := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			return dial(ctx, network, address)
+		},
 		TLSClientConfig: config,
 		Protocols:       protocols,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
--- a/internal/peersync/replicator.go
+++ b/internal/peersync/replicator.go
@@ -221,7 +221,7 @@
 	for {
 		// The age and the change channel are taken before the topics, so that
 		// neither claims more than what the answer carries.
-		age, leaderKnown := r.LeaderAge(time.Now())
+		age, leaderKnown := r.LeaderAge()
 		changed := r.Changed("")
 		topics, next := r.changedSince(cursor, asking, request.Exclude)
 		if len(topics) > 0 || expired || request.Incarnation != r.incarnation {
--- a/internal/peersync/replicator_test.go
+++ b/internal/peersync/replicator_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,15 +159,22 @@
 // younger than it is, and against an age that outgrows the validity of a
 // snapshot while all is well.
 func TestLeaderAgeIsNeverTooYoungAndStaysBounded(t *testing.T) {
-	withFleet(t, 12, 100*time.Millisecond, func(_ context.Context, f *fleet, _ *conc.WaitGroup) {
+	withFleet(t, 12, 100*time.Millisecond, func(_ context.Context, f *fleet, group *conc.WaitGroup) {
 		leader := f.nodes["host-03"]
-		leader.SetLeader(7, true)
+		var leading atomic.Bool
+		leading.Store(true)
+		group.Go(func() {
+			for leading.Load() {
+				leader.ConfirmLeader(7, time.Now())
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
 		time.Sleep(time.Second)
 		published := time.Now()
 		leader.Publish(Topic{Name: "routes/a", Version: topology.Version{Term: 7, Sequence: 1}})
 		for range 2000 {
 			for name, node := range f.nodes {
-				age, ok := node.LeaderAge(time.Now())
+				age, ok := node.LeaderAge()
 				assert.Assert(t, ok && time.Since(age.Since) <= topology.SnapshotValidity, "%s: age %s", name, time.Since(age.Since))
 				_, has := node.Get("routes/a")
 				assert.Assert(t, has || !age.Since.After(published), "%s claims a current copy without the topic", name)
@@ -176,8 +184,9 @@
 		f.setCut("host-03", true)
 		time.Sleep(topology.SnapshotValidity + 300*time.Millisecond)
 		for name, node := range f.nodes {
-			age, _ := node.LeaderAge(time.Now())
+			age, _ := node.LeaderAge()
 			assert.Assert(t, name == "host-03" || time.Since(age.Since) > topology.SnapshotValidity, "%s still believes its copy current", name)
 		}
+		leading.Store(false)
 	})
 }
--- a/internal/peersync/topics.go
+++ b/internal/peersync/topics.go
@@ -25,12 +25,11 @@
 
 // Topics is the Bus of one host and the source from which peers pull.
 type Topics struct {
-	mu       sync.Mutex
-	entries  map[string]*entry
-	changes  uint64
-	waiters  map[string]chan struct{}
-	leader   LeaderAge
-	isLeader bool
+	mu      sync.Mutex
+	entries map[string]*entry
+	changes uint64
+	waiters map[string]chan struct{}
+	leader  LeaderAge
 }
 
 var _ Bus = (*Topics)(nil)
@@ -128,27 +127,17 @@
 	return slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(name, p) })
 }
 
-// SetLeader tells whether this host is the leader of term; the leader's own
-// copy has no age.
-func (t *Topics) SetLeader(term topology.Term, leading bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if leading && term >= t.leader.Term {
-		t.leader.Term = term
-		t.isLeader = true
-		return
-	}
-	t.isLeader = false
+// ConfirmLeader notes that this host led in term at since or later and that its
+// topics then showed every decision it had taken.
+func (t *Topics) ConfirmLeader(term topology.Term, since time.Time) {
+	t.observeLeader(LeaderAge{Term: term, Since: since})
 }
 
 // LeaderAge returns since when at the latest this host's copy of the leader's
 // topics is current. ok is false before the first answer that knows a leader.
-func (t *Topics) LeaderAge(now time.Time) (LeaderAge, bool) {
+func (t *Topics) LeaderAge() (LeaderAge, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.isLeader {
-		return LeaderAge{Term: t.leader.Term, Since: now}, true
-	}
 	return t.leader, !t.leader.Since.IsZero()
 }
 
@@ -157,8 +146,7 @@
 func (t *Topics) observeLeader(age LeaderAge) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	newer := age.Term > t.leader.Term || age.Term == t.leader.Term && age.Since.After(t.leader.Since)
-	if newer && !t.isLeader {
+	if age.Term > t.leader.Term || age.Term == t.leader.Term && age.Since.After(t.leader.Since) {
 		t.leader = age
 	}
 }
