Plan placement from measured load and declarations

Every host counts its requests by position and publishes the counts; the leader merges them and asks the planner once a second. Labeled keys get slices of their own whose owners follow the ownership rules.

--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -42,7 +42,7 @@
 	c := &callersService{host: h}
 	c.admission = admission.New(admissionServices(h.settings), h.options.Seed)
 	c.handler = proxy.New(proxy.Options{
-		Services: proxyServices(h.settings), Resolver: h.routes.table, Admitter: c.admission,
+		Services: proxyServices(h.settings), Resolver: countingResolver{h.routes.table, h.loads}, Admitter: c.admission,
 		Limits: proxyLimits(h.settings.Limits), Logger: h.log, Dial: h.options.Network.Dial,
 	})
 	return c
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -63,6 +63,7 @@
 	metrics  *telemetry.Metrics
 	topics   *topicsService
 	leader   *leadershipService
+	loads    *loadsService
 	owner    *ownershipService
 	declare  *declarationsService
 	routes   *routesService
@@ -92,6 +93,7 @@
 	}
 	h.topics = newTopicsService(h)
 	h.leader = newLeadershipService(h)
+	h.loads = newLoadsService(h)
 	h.owner = newOwnershipService(h)
 	h.declare = newDeclarationsService(h)
 	h.routes = newRoutesService(h)
@@ -99,7 +101,7 @@
 	h.admin = newAdminService(h)
 	// The callers' service is last: it stops first, while the admin address
 	// still answers that the host is not ready.
-	h.kernel = kernel.New(h.log, stopTimeout, h.topics, h.leader, h.owner, h.declare, h.routes, h.admin, h.callers)
+	h.kernel = kernel.New(h.log, stopTimeout, h.topics, h.leader, h.loads, h.owner, h.declare, h.routes, h.admin, h.callers)
 	return h, nil
 }
 
--- /dev/null
+++ b/internal/host/loads.go
@@ -0,0 +1,111 @@
+package host
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/peersync"
+	"github.com/cassiasill/cassiasill/internal/routing"
+	"github.com/cassiasill/cassiasill/internal/sketch"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+const (
+	serviceLoads    = "loads"
+	loadTopicPrefix = "load/"
+	// loadInterval is how often a host publishes its counts; the planner runs
+	// as often.
+	loadInterval = time.Second
+	// loadBytes bounds the published counts of one service of one host.
+	loadBytes = 16 << 10
+)
+
+// loadsService counts this host's requests by position and publishes the counts.
+type loadsService struct {
+	host     *Host
+	counters map[topology.ServiceName]*sketch.Counter
+}
+
+func newLoadsService(h *Host) *loadsService {
+	l := &loadsService{host: h, counters: make(map[topology.ServiceName]*sketch.Counter)}
+	for _, s := range h.settings.Services {
+		if s.DividedByKey {
+			l.counters[s.Name] = sketch.NewCounter(sketch.DefaultConfig(), time.Now())
+		}
+	}
+	return l
+}
+
+func (l *loadsService) Name() string       { return serviceLoads }
+func (l *loadsService) Requires() []string { return []string{serviceTopics} }
+
+// Start publishes the counts regularly.
+func (l *loadsService) Start(_ context.Context, registry *kernel.Registry) error {
+	registry.Go(l.Name(), func(ctx context.Context) error {
+		ticker := time.NewTicker(loadInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				l.publish()
+			}
+		}
+	})
+	return nil
+}
+
+// Stop has nothing to finish.
+func (l *loadsService) Stop(context.Context) error { return nil }
+
+func loadTopic(service topology.ServiceName, host topology.HostName) string {
+	return loadTopicPrefix + string(service) + "/" + string(host)
+}
+
+func (l *loadsService) publish() {
+	now := time.Now()
+	for service, counter := range l.counters {
+		payload, err := counter.Encode(now, loadBytes)
+		if err != nil {
+			l.host.log.Error("placement: counts not encoded", zap.Error(err))
+			continue
+		}
+		peersync.PublishOwn(l.host.topics.replicator, loadTopic(service, l.host.settings.Host.Name), now, payload)
+	}
+}
+
+// merged returns the counts of all hosts for a service.
+func (l *loadsService) merged(service topology.ServiceName) *sketch.View {
+	config := sketch.DefaultConfig()
+	sum := sketch.New(config)
+	for _, topic := range l.host.topics.replicator.List(loadTopic(service, "")) {
+		counts, err := sketch.Decode(topic.Payload, config.HalfLife)
+		if err != nil {
+			l.host.log.Error("placement: a host's counts not decoded",
+				zap.String("host", topic.Name[strings.LastIndexByte(topic.Name, '/')+1:]), zap.Error(err))
+			continue
+		}
+		sum.Merge(counts)
+	}
+	return sum.View()
+}
+
+// countingResolver counts each lookup of a served key as one request.
+type countingResolver struct {
+	routing.Resolver
+	loads *loadsService
+}
+
+// Owner looks the owner up and counts the request.
+func (r countingResolver) Owner(service topology.ServiceName, h topology.Hash) routing.Owner {
+	owner := r.Resolver.Owner(service, h)
+	if counter := r.loads.counters[service]; counter != nil && owner.State == routing.StateServed {
+		counter.Add(h, 1)
+	}
+	return owner
+}
--- a/internal/host/ownership.go
+++ b/internal/host/ownership.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/cassiasill/cassiasill/internal/declaration"
 	"github.com/cassiasill/cassiasill/internal/granter"
 	"github.com/cassiasill/cassiasill/internal/kernel"
 	"github.com/cassiasill/cassiasill/internal/ownership"
@@ -21,6 +23,10 @@
 	host       *Host
 	controller *ownership.Controller
 	services   []ownership.Service
+
+	mu          sync.Mutex
+	preparedFor *declaration.Set
+	prepared    map[topology.ServiceName]func(topology.Range, topology.ServerName) bool
 }
 
 func newOwnershipService(h *Host) *ownershipService {
@@ -36,11 +42,29 @@
 		Self: h.settings.Host.Name, Leadership: h.leader.elector,
 		Granter: granter.NewHTTP(&http.Client{Transport: h.transport()}),
 		Store:   h.options.Store, Bus: h.topics.replicator, Services: o.services,
+		Planner: newPlanner(h), Eligible: o.eligible,
 		Log: h.log, Random: h.random(2),
 	})
 	return o
 }
 
+// eligible reports whether a server may take over a range. It is asked for each
+// range of a lost server, so the rules of one revision are prepared once.
+func (o *ownershipService) eligible(service topology.ServiceName, server topology.ServerName, r topology.Range) bool {
+	set := o.host.declare.follower.Current()
+	o.mu.Lock()
+	if o.preparedFor != set {
+		o.preparedFor, o.prepared = set, make(map[topology.ServiceName]func(topology.Range, topology.ServerName) bool)
+	}
+	check := o.prepared[service]
+	if check == nil {
+		check = eligibility(set, service)
+		o.prepared[service] = check
+	}
+	o.mu.Unlock()
+	return check(r, server)
+}
+
 func (o *ownershipService) Name() string       { return serviceOwnership }
 func (o *ownershipService) Requires() []string { return []string{serviceLeadership} }
 
--- /dev/null
+++ b/internal/host/planner.go
@@ -0,0 +1,176 @@
+package host
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/declaration"
+	"github.com/cassiasill/cassiasill/internal/ownership"
+	"github.com/cassiasill/cassiasill/internal/placement"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+const (
+	// moveGap is what a planned move costs a key: release, grant and
+	// publication, as the dev command measures it.
+	moveGap = 20 * time.Millisecond
+	// recentMoves is how long moves are remembered; longer than the budget's
+	// window and the dwell time.
+	recentMoves = 2 * time.Minute
+)
+
+// planner asks package placement for changes and remembers what it needs
+// between rounds. Only the controller's goroutine of a service calls it.
+type planner struct {
+	host   *Host
+	states map[topology.ServiceName]*planState
+}
+
+type planState struct {
+	term     topology.Term
+	states   map[topology.ServerName]placement.ServerState
+	since    map[topology.ServerName]time.Time
+	recent   []recentMove
+	warnings []placement.Warning
+}
+
+type recentMove struct {
+	bounds topology.Range
+	share  float64
+	at     time.Time
+}
+
+func newPlanner(h *Host) *planner {
+	p := &planner{host: h, states: make(map[topology.ServiceName]*planState)}
+	for _, s := range h.settings.Services {
+		p.states[s.Name] = &planState{
+			states: make(map[topology.ServerName]placement.ServerState),
+			since:  make(map[topology.ServerName]time.Time),
+		}
+	}
+	return p
+}
+
+// Plan proposes changes for one service.
+func (p *planner) Plan(service topology.ServiceName, input ownership.PlanInput) []ownership.Move {
+	state := p.states[service]
+	set := p.host.declare.follower.Current()
+	view := p.host.loads.merged(service)
+	in := placement.Input{
+		Service: service, Assignment: input.Assignment,
+		Servers: state.servers(input, func(s topology.ServerName) bool { return set.Drained(service, s) }),
+		Load:    view.Load, Samples: view.Samples(),
+		Isolated: isolated(set, service), Eligible: eligibility(set, service),
+		MoveGap: moveGap, Recent: state.recentMoves(input), Policy: placement.DefaultPolicy(), Budget: placement.DefaultBudget(),
+	}
+	objective := p.host.settings.Objective
+	in.Weights = placement.Weights{Imbalance: objective.Imbalance, Churn: objective.Churn, UnavailableTime: objective.UnavailableTime}
+	for _, k := range view.HeavyKeys() {
+		in.HeavyKeys = append(in.HeavyKeys, placement.HeavyKey{Hash: k.Hash, Load: k.Load})
+	}
+	plan := placement.Compute(in)
+	p.warn(service, state, plan.Warnings)
+	return state.moves(plan, input.Now)
+}
+
+// servers returns the planner's view and notes since when each state lasts.
+func (s *planState) servers(input ownership.PlanInput, drained func(topology.ServerName) bool) []placement.Server {
+	policy := placement.DefaultPolicy()
+	var out []placement.Server
+	for _, view := range input.Servers {
+		now := placement.Ready
+		before, known := s.states[view.Name]
+		switch {
+		case !view.Live:
+			now = placement.Gone
+		case view.Leaving || drained(view.Name):
+			now = placement.Draining
+		case known && before == placement.Gone,
+			before == placement.Returning && input.Now.Sub(s.since[view.Name]) < policy.Ramp:
+			now = placement.Returning
+		}
+		if !known || now != before {
+			s.states[view.Name], s.since[view.Name] = now, input.Now
+		}
+		out = append(out, placement.Server{
+			Name: view.Name, AvailabilityZone: view.AvailabilityZone,
+			State: now, Since: input.Now.Sub(s.since[view.Name]),
+		})
+	}
+	return out
+}
+
+// recentMoves returns the moves that count against the budget.
+func (s *planState) recentMoves(input ownership.PlanInput) []placement.RecentMove {
+	s.recent = slices.DeleteFunc(s.recent, func(m recentMove) bool { return input.Now.Sub(m.at) > recentMoves })
+	var out []placement.RecentMove
+	for _, m := range s.recent {
+		out = append(out, placement.RecentMove{
+			Range: m.bounds, Share: m.share, Age: input.Now.Sub(m.at),
+			InFlight: slices.ContainsFunc(input.Moving, m.bounds.Overlaps),
+		})
+	}
+	return out
+}
+
+// moves returns the plan in the controller's terms: merges and splits first,
+// because the moves' ranges are those after them.
+func (s *planState) moves(plan placement.Plan, now time.Time) []ownership.Move {
+	var out []ownership.Move
+	for _, m := range plan.Merges {
+		out = append(out, ownership.Move{Kind: ownership.KindMerge, Range: m.Range})
+	}
+	for _, split := range plan.Splits {
+		for _, part := range split.Parts {
+			if part.First != split.Range.First {
+				out = append(out, ownership.Move{Kind: ownership.KindSplit, Range: part})
+			}
+		}
+	}
+	for _, m := range plan.Moves {
+		out = append(out, ownership.Move{Kind: ownership.KindMove, Range: m.Range, From: m.From, To: m.To})
+		s.recent = append(s.recent, recentMove{m.Range, m.Share, now})
+	}
+	return out
+}
+
+// warn logs warnings that are new.
+func (p *planner) warn(service topology.ServiceName, state *planState, warnings []placement.Warning) {
+	for _, w := range warnings {
+		if !slices.Contains(state.warnings, w) {
+			p.host.log.Warn("placement: "+string(w.Kind), zap.String("service", string(service)),
+				zap.Stringer("range", w.Range), zap.String("owner", string(w.Owner)))
+		}
+	}
+	state.warnings = warnings
+}
+
+// isolated returns the positions of keys with labels of their own, sorted.
+func isolated(set *declaration.Set, service topology.ServiceName) []topology.Hash {
+	var out []topology.Hash
+	for _, key := range set.LabeledKeys(service) {
+		out = append(out, topology.HashKey(key))
+	}
+	slices.SortFunc(out, cmp.Compare[topology.Hash])
+	return slices.Compact(out)
+}
+
+// eligibility returns which servers may own a range: a range of one position
+// follows the rules of the key that is labeled there, any other those of keys
+// without labels.
+func eligibility(set *declaration.Set, service topology.ServiceName) func(topology.Range, topology.ServerName) bool {
+	byPosition := make(map[topology.Hash][]topology.ServerName)
+	for _, key := range set.LabeledKeys(service) {
+		byPosition[topology.HashKey(key)] = set.MayOwn(service, key)
+	}
+	others := set.DefaultGroup(service).Servers
+	return func(r topology.Range, server topology.ServerName) bool {
+		if servers, ok := byPosition[r.First]; ok && r.First == r.Last {
+			return slices.Contains(servers, server)
+		}
+		return slices.Contains(others, server)
+	}
+}
