Test the cases that mutated code showed to be unguarded

Mutations of a scratch copy survived for draining in two steps, the load lag, a slot handed to a request that gave up, a crash behind another listener, compares with deleted keys, compaction at the edge and a zero without unit.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -22,8 +22,9 @@
 		},
 		"units": {
 			`9:3: store.timeout: found "2 seconds", expected a duration with a unit such as 500ms, 2s or 1m`,
-			`22:9: services[0].routes[0].timeout: found "5", expected a duration with a unit such as 500ms, 2s or 1m`,
-			`24:3: limits.buffer: found "64 megabytes", expected a size with a unit such as 512B, 64KiB or 10MB`,
+			`12:3: latency.toCallers: found "0", expected a duration with a unit such as 500ms, 2s or 1m`,
+			`24:9: services[0].routes[0].timeout: found "5", expected a duration with a unit such as 500ms, 2s or 1m`,
+			`26:3: limits.buffer: found "64 megabytes", expected a size with a unit such as 512B, 64KiB or 10MB`,
 		},
 		"duplicate-field": {
 			`14:5: services[0].slots: given twice, first in line 12`,
@@ -51,6 +52,7 @@
 			`6:5: host.addresses.admin: found "10.0.0.5:18180", expected a loopback address, or operator.tls with clientCA or operator.tokensFile`,
 			`11:15: store.endpoints[0]: found "10.0.0.1:2379", expected a URL such as http://10.0.0.1:2379`,
 			`18:9: services[0].servers[0].address: found "agenda.internal:8080", expected an IP address with a port such as 10.0.0.1:8080`,
+			`25:3: operator.tls: expected cert and key together`,
 		},
 		"wrong-type": {
 			`12:5: services[0].slots: found "two", expected a whole number`,
@@ -135,6 +137,8 @@
 		assert.Equal(t, booking.Class, ClassBooking)
 		assert.Assert(t, !booking.Repeatable)
 	}
+	nested := Service{Routes: []Route{{PathPrefix: "/agenda/reports/", Class: ClassDownload}, {PathPrefix: "/agenda/"}}}
+	assert.Equal(t, nested.RouteFor("GET", "/agenda/reports/1").Class, ClassDownload)
 	_, err := Deployment("unknown")
 	assert.ErrorContains(t, err, `no deployment "unknown"`)
 }
--- a/internal/standin/grants_test.go
+++ b/internal/standin/grants_test.go
@@ -119,10 +119,14 @@
 	g.Finish(150)
 	assert.DeepEqual(t, g.Apply(question, 0).Draining, []topology.Range{right})
 	assert.Equal(t, len(g.Apply(grant(version(5, 3), ttl, both), 0).Draining), 0)
-	// Released again while the second request still runs.
-	reply := g.Apply(grant(version(5, 4), ttl), 0)
-	assert.DeepEqual(t, reply.Draining, []topology.Range{both})
-	assert.Equal(t, reply.InFlight, 1)
+	// Released again in two steps while requests run in both parts.
+	g.Begin(50)
+	assert.DeepEqual(t, g.Apply(grant(version(5, 4), ttl, left), 0).Draining, []topology.Range{right})
+	reply := g.Apply(grant(version(5, 5), ttl), 0)
+	assert.DeepEqual(t, reply.Draining, []topology.Range{right, left})
+	assert.Equal(t, reply.InFlight, 2)
 	g.Finish(150)
+	assert.DeepEqual(t, g.Apply(question, 0).Draining, []topology.Range{left})
+	g.Finish(50)
 	assert.Equal(t, len(g.Apply(question, 0).Draining), 0)
 }
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,6 +91,12 @@
 	return a
 }
 
+func (b *bench) load() (load Load) {
+	b.t.Helper()
+	assert.NilError(b.t, json.Unmarshal(b.request(http.MethodGet, "/load", nil, "").body, &load))
+	return load
+}
+
 // Guards against a server that runs what it must refuse, or refuses in a way
 // that a host cannot recognize as not executed.
 func TestServerChecksRequests(t *testing.T) {
@@ -131,7 +138,9 @@
 				assert.Equal(t, a.header.Get(apierror.HeaderRequestID), c.header[apierror.HeaderRequestID])
 				ran := c.status == 200 || c.status == 504
 				assert.Equal(t, a.header.Get(apierror.HeaderExecuted) == "no", !ran)
-				assert.Equal(t, len(b.server.Executions()) == 1, ran)
+				executions := b.server.Executions()
+				assert.Equal(t, len(executions) == 1, ran)
+				assert.Assert(t, !ran || executions[0].Completed == (c.status == 200))
 			})
 		})
 	}
@@ -147,12 +156,13 @@
 			group.Go(func() { answers[i] = b.request(http.MethodPost, "/inventario/k", nil, "") })
 		}
 		synctest.Wait()
-		var before, after Load
-		assert.NilError(t, json.Unmarshal(b.request(http.MethodGet, "/load", nil, "").body, &before))
+		assert.Equal(t, b.load(), Load{Slots: 2})
 		time.Sleep(500 * time.Millisecond)
-		assert.NilError(t, json.Unmarshal(b.request(http.MethodGet, "/load", nil, "").body, &after))
-		assert.Equal(t, before, Load{Slots: 2})
-		assert.Equal(t, after, Load{Running: 2, Queued: 1, Slots: 2})
+		assert.Equal(t, b.load(), Load{Running: 2, Queued: 1, Slots: 2})
+		time.Sleep(600 * time.Millisecond)
+		assert.Equal(t, b.load(), Load{Running: 2, Queued: 1, Slots: 2})
+		time.Sleep(400 * time.Millisecond)
+		assert.Equal(t, b.load(), Load{Running: 1, Slots: 2})
 		group.Wait()
 		statuses := map[int]int{}
 		for _, a := range answers[:4] {
@@ -176,6 +186,44 @@
 	})
 }
 
+// Guards against a slot lost when a queued request gives up at the moment at
+// which it gets the slot.
+func TestServerKeepsItsSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewServer(ServerOptions{Queue: 1})
+		in := s.current
+		assert.NilError(t, s.acquire(t.Context(), in))
+		ctx, cancel := context.WithCancel(t.Context())
+		var err error
+		var group conc.WaitGroup
+		group.Go(func() { err = s.acquire(ctx, in) })
+		synctest.Wait()
+		s.Freeze()
+		cancel()
+		synctest.Wait()
+		s.release(in)
+		s.Resume()
+		group.Wait()
+		assert.ErrorContains(t, err, "too late")
+		assert.Equal(t, s.load(in), Load{Slots: 1})
+	})
+}
+
+// Guards against a crash that leaves requests running behind a listener that is
+// not the server's own.
+func TestServerCrashBehindOtherListener(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewServer(ServerOptions{ServiceTime: time.Second})
+		start := time.Now()
+		time.AfterFunc(300*time.Millisecond, s.Crash)
+		defer func() {
+			assert.Equal(t, recover(), http.ErrAbortHandler)
+			assert.Equal(t, time.Since(start), 300*time.Millisecond)
+		}()
+		s.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/inventario/a", nil))
+	})
+}
+
 // Guards against a stand-in that is kinder than a frozen process: what arrived
 // is processed on resumption, by a clock that kept counting.
 func TestServerFreeze(t *testing.T) {
@@ -229,6 +277,7 @@
 		assert.Assert(t, !b.server.Owned().Valid)
 		a = b.request(http.MethodGet, "/health", nil, "")
 		assert.ErrorContains(t, a.err, "connection refused")
+		assert.Equal(t, executions[0].End, executions[0].Start)
 		time.Sleep(time.Minute + time.Millisecond)
 		after := b.server.Owned()
 		assert.Assert(t, !after.Valid && after.Incarnation != before.Incarnation && len(after.Ranges) == 0)
@@ -236,6 +285,20 @@
 		assert.NilError(t, err)
 		assert.Equal(t, reply.Refused, granter.RefusalIncarnation)
 		assert.Equal(t, reply.HighestTerm, topology.Term(7))
+
+		b.grantAll(version(7, 3))
+		var group conc.WaitGroup
+		group.Go(func() {
+			a = b.request(http.MethodPost, "/inventario/a", map[string]string{HeaderFencingToken: "7.3"}, "")
+		})
+		time.Sleep(300 * time.Millisecond)
+		b.server.Crash()
+		group.Wait()
+		synctest.Wait()
+		assert.Assert(t, a.err != nil)
+		execution := b.server.Executions()[1]
+		assert.Equal(t, execution.End.Sub(execution.Start), 300*time.Millisecond)
+		assert.Assert(t, !execution.Completed)
 	})
 }
 
--- a/internal/store/contract_test.go
+++ b/internal/store/contract_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -91,6 +92,12 @@
 		assert.NilError(t, err)
 		assert.Assert(t, found)
 		assert.DeepEqual(t, kv, store.KeyValue{Key: "/a", Value: []byte("3"), CreateRevision: first.Revision, ModRevision: third.Revision})
+		// The key that the caller saw is gone.
+		_, err = s.Txn(ctx, nil, []store.Op{store.Delete("/b")})
+		assert.NilError(t, err)
+		fourth, err := s.Txn(ctx, []store.Compare{{Key: "/b", ModRevision: first.Revision}}, []store.Op{store.Put("/b", nil)})
+		assert.NilError(t, err)
+		assert.Assert(t, !fourth.Succeeded)
 		_, found, _, err = s.Get(ctx, "/")
 		assert.NilError(t, err)
 		assert.Assert(t, !found)
@@ -215,7 +222,7 @@
 		assert.Equal(t, kindOf(watch.Err()), store.KindUnavailable)
 		backend.Up()
 		backend.Compact()
-		watch = s.Watch(ctx, "/w/", first)
+		watch = s.Watch(ctx, "/w/", third.Revision)
 		_, open = <-watch.Batches()
 		assert.Assert(t, !open)
 		assert.Equal(t, kindOf(watch.Err()), store.KindCompacted, "%v", watch.Err())
@@ -246,4 +253,14 @@
 	assert.Assert(t, !open)
 	assert.Equal(t, kindOf(watch.Err()), store.KindCompacted)
 	assert.Equal(t, s.Counts().Writes, int64(70))
+
+	// The latest revision is kept even if it alone exceeds the limit.
+	var ops []store.Op
+	for i := range 70 {
+		ops = append(ops, store.Put(fmt.Sprintf("/many/%d", i), big))
+	}
+	result, err := s.Txn(t.Context(), nil, ops)
+	assert.NilError(t, err)
+	batch := <-s.Watch(t.Context(), "/many/", result.Revision).Batches()
+	assert.Equal(t, len(batch.Events), 70)
 }
