End executions at the moment of a crash

TestServerCrashAndRestart failed once in 60 runs under load: an execution had no end yet when the client saw its connection break, because the end was recorded by the request's goroutine. The crash itself now records it.

--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -301,6 +301,7 @@
 	execution := new(Execution)
 	*execution = c.execution
 	s.executions = append(s.executions, execution)
+	in.executing[execution] = true
 	return execution, s.serviceTime(), nil
 }
 
@@ -308,9 +309,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	in.grants.Finish(c.hash)
-	if execution.End.IsZero() {
-		execution.End = time.Now()
-	}
+	in.end(execution, false)
 }
 
 // run spends the service time. A frozen server notices the end, a cancellation
@@ -327,8 +326,7 @@
 	}
 	s.mustEnter(in)
 	defer s.mu.Unlock()
-	execution.End = time.Now()
-	execution.Completed = err == nil
+	in.end(execution, err == nil)
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		return apierror.New(apierror.KindTimeout, "the deadline passed while the request ran")
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -113,6 +113,16 @@
 	queue    []chan struct{}
 	leaving  time.Time
 	samples  []sample
+	// executing holds the executions that have not ended.
+	executing map[*Execution]bool
+}
+
+// end notes that an execution no longer runs.
+func (in *instance) end(execution *Execution, completed bool) {
+	if in.executing[execution] {
+		execution.End, execution.Completed = time.Now(), completed
+		delete(in.executing, execution)
+	}
 }
 
 // Server is a stand-in upstream server. Its methods are safe for concurrent use.
@@ -150,7 +160,8 @@
 	s.restarts++
 	// The start time keeps the names of several processes for one server apart.
 	name := fmt.Sprintf("%s-%s-%d", s.options.Name, strconv.FormatInt(now.UnixNano(), 36), s.restarts)
-	return &instance{name: name, started: now, grants: NewGrantState(name), dead: make(chan struct{})}
+	return &instance{name: name, started: now, grants: NewGrantState(name), dead: make(chan struct{}),
+		executing: make(map[*Execution]bool)}
 }
 
 // Name returns the server's name.
@@ -231,6 +242,11 @@
 	}
 	in := s.current
 	s.current = nil
+	// Executions end here and not when their goroutines notice: after a crash
+	// nothing runs that a peer could still observe.
+	for execution := range in.executing {
+		in.end(execution, false)
+	}
 	close(in.dead)
 	s.resume()
 	if in.http != nil {
