Compare fencing tokens with the grant of the range

Cause: a server compared a request's token with the version of its whole set, so that each move of one range made hosts with the former routes retry for all others. The stand-in now remembers since which version it holds each range. The test shows that unmoved ranges are accepted and that a range which moved away and back refuses its former token.

--- a/internal/standin/grants.go
+++ b/internal/standin/grants.go
@@ -22,10 +22,19 @@
 	leaving     bool
 	running     map[topology.Hash]int
 	inFlight    int
+	// acquired notes since which version each part of the held set has been
+	// held without a break.
+	acquired []acquisition
 	// released lists ranges given up in which requests may still run.
 	released []topology.Range
 }
 
+// acquisition is a range that has been held since a version.
+type acquisition struct {
+	bounds topology.Range
+	since  topology.Version
+}
+
 // NewGrantState returns the state of a server that holds nothing.
 func NewGrantState(incarnation string) *GrantState {
 	return &GrantState{incarnation: incarnation, running: make(map[topology.Hash]int)}
@@ -95,10 +104,37 @@
 	for _, r := range candidates {
 		g.released = append(g.released, topology.SubtractRanges([]topology.Range{r}, ranges)...)
 	}
+	g.acquire(ranges, heartbeat.SetVersion)
 	g.held = granter.GrantSet{Version: heartbeat.SetVersion, Ranges: ranges}
 	g.end = heartbeat.End
 }
 
+// acquire notes which parts of the new set are held since version; the others
+// keep their earlier version.
+func (g *GrantState) acquire(ranges []topology.Range, version topology.Version) {
+	var next []acquisition
+	for _, a := range g.acquired {
+		gone := topology.SubtractRanges([]topology.Range{a.bounds}, ranges)
+		for _, kept := range topology.SubtractRanges([]topology.Range{a.bounds}, gone) {
+			next = append(next, acquisition{kept, a.since})
+		}
+	}
+	for _, fresh := range topology.SubtractRanges(ranges, g.held.Ranges) {
+		next = append(next, acquisition{fresh, version})
+	}
+	g.acquired = next
+}
+
+// since returns the version since which h has been held.
+func (g *GrantState) since(h topology.Hash) topology.Version {
+	for _, a := range g.acquired {
+		if a.bounds.Contains(h) {
+			return a.since
+		}
+	}
+	return g.held.Version
+}
+
 // draining forgets released ranges in which nothing runs and returns the rest.
 func (g *GrantState) draining() []topology.Range {
 	g.released = slices.DeleteFunc(g.released, func(r topology.Range) bool {
@@ -125,8 +161,8 @@
 		return apierror.New(apierror.KindNotOwner, "position %016x is not in set %s", uint64(h), g.held.Version)
 	case clock >= g.end:
 		return apierror.New(apierror.KindNotOwner, "set %s ended at %s, the clock is %s", g.held.Version, g.end, clock)
-	case g.held.Version.Newer(token):
-		return apierror.New(apierror.KindNotOwner, "fencing token %s is older than set %s", token, g.held.Version)
+	case g.since(h).Newer(token):
+		return apierror.New(apierror.KindNotOwner, "fencing token %s is older than the grant %s", token, g.since(h))
 	}
 	return nil
 }
--- a/internal/standin/grants_test.go
+++ b/internal/standin/grants_test.go
@@ -130,3 +130,29 @@
 	g.Finish(50)
 	assert.Equal(t, len(g.Apply(question, 0).Draining), 0)
 }
+
+// Guards against refusing a key that did not move because another one did, and
+// against accepting a request that was sent before the key moved away and back.
+func TestCheckComparesTheTokenWithTheGrantOfTheRange(t *testing.T) {
+	half := topology.Range{First: 0, Last: 1 << 63}
+	rest := topology.Range{First: half.Last + 1, Last: topology.FullRange.Last}
+	state := NewGrantState("a")
+	set := func(sequence uint64, ranges ...topology.Range) {
+		v := topology.Version{Term: 1, Sequence: sequence}
+		reply := state.Apply(granter.Heartbeat{
+			Term: 1, Incarnation: "a", SetVersion: v, Set: &granter.GrantSet{Version: v, Ranges: ranges}, End: time.Second,
+		}, 0)
+		assert.Equal(t, reply.Refused, granter.RefusalNone)
+	}
+	accepts := func(h topology.Hash, sequence uint64) bool {
+		return state.Check(h, topology.Version{Term: 1, Sequence: sequence}, 0) == nil
+	}
+	set(1, half)
+	set(2, half, rest)
+	assert.Assert(t, accepts(half.First, 1), "a key that did not move was refused")
+	assert.Assert(t, !accepts(rest.First, 1), "a key was accepted under a token from before its grant")
+	set(3, rest)
+	set(4, half, rest)
+	assert.Assert(t, !accepts(half.First, 2), "a key that moved away and back was accepted under its former token")
+	assert.Assert(t, accepts(rest.First, 2))
+}
