--- a/internal/idempotency/idempotency.go
+++ /dev/null
@@ -1,2 +0,0 @@
-package idempotency
-type Client struct{}
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -41,9 +41,15 @@
 
 var buffers = sync.Pool{New: func() any { return new([headBytes]byte) }}
 
-// end releases what the answer holds. Its connection is closed unless the
-// answer was read to its end.
-func (a *answer) end(outcome admission.Outcome) {
+// end releases what the answer holds and the quarantine's permit.
+func (q *request) end(a *answer, outcome admission.Outcome) {
+	a.release(outcome)
+	q.settle(outcome)
+}
+
+// release gives back what the answer holds. Its connection is closed unless
+// the answer was read to its end.
+func (a *answer) release(outcome admission.Outcome) {
 	a.cancel()
 	a.response.Body.Close()
 	if a.buffer != nil {
--- a/internal/proxy/fakes_test.go
+++ b/internal/proxy/fakes_test.go
@@ -300,3 +300,12 @@
 	text, err := io.ReadAll(answer.Body)
 	return answer, string(text), err
 }
+
+// drained waits for the handlers' end and checks that every ticket came back.
+func (h *harness) drained(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, h.Shutdown(t.Context()))
+	h.admitter.mu.Lock()
+	defer h.admitter.mu.Unlock()
+	assert.Equal(t, h.admitter.open, 0, "a ticket was not given back")
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -10,6 +10,8 @@
 
 	"github.com/cassiasill/cassiasill/internal/admission"
 	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/idempotency"
+	"github.com/cassiasill/cassiasill/internal/quarantine"
 	"github.com/cassiasill/cassiasill/internal/retry"
 	"github.com/cassiasill/cassiasill/internal/routing"
 	"github.com/cassiasill/cassiasill/internal/topology"
@@ -45,6 +47,11 @@
 	timer    *time.Timer
 	body     requestBody
 
+	print quarantine.Fingerprint
+	held  quarantine.Permit
+	keep  bool                // a small answer is kept for a replay
+	kept  *idempotency.Answer // set once the answer is whole
+
 	attempts int
 	fresh    int
 	exclude  []topology.ServerName
@@ -59,8 +66,8 @@
 // changes or a pause ends.
 type avoidance struct {
 	owner    routing.Owner
-	until    time.Time
-	budgeted bool // trying the same owner again takes from the retry budget
+	until    time.Time // zero: only another owner can help
+	budgeted bool      // trying the same owner again takes from the retry budget
 	err      error
 }
 
@@ -75,6 +82,14 @@
 		return err
 	}
 	defer q.body.release(q)
+	if err := q.checkQuarantine(); err != nil {
+		return err
+	}
+	return q.runOnce()
+}
+
+// transfer sends the request and passes the answer on.
+func (q *request) transfer() error {
 	a, err := q.forward(nil)
 	if err != nil {
 		return err
@@ -100,11 +115,12 @@
 			return a, nil
 		}
 		ticket.Done(f.outcome(), latency)
+		q.settleFailure(f, q.service.upstreams[ticket.Server()])
 		q.logAttempt(ticket.Server(), owner, f.seen, latency, f.err)
 		if !f.seen.NotExecuted() {
 			q.sent = true
 		}
-		if err := q.next(f, ticket.Server(), owner); err != nil {
+		if err := q.next(f, ticket.Server(), owner, p); err != nil {
 			return nil, err
 		}
 	}
@@ -124,31 +140,45 @@
 // so that a request never goes to an owner that has changed meanwhile.
 func (q *request) place() (admission.Ticket, routing.Owner, error) {
 	want := admission.Request{Service: q.service.Name, Caller: q.caller, Class: q.route.Class, Deadline: q.deadline}
-	if !q.service.Keyed {
-		ticket, err := q.handler.options.Admitter.Admit(q.ctx, want, q.exclude)
-		return ticket, routing.Owner{}, err
-	}
+	exclude := q.exclude
 	for {
-		owner, err := q.awaitOwner()
+		owner := routing.Owner{}
+		if q.service.Keyed {
+			var err error
+			if owner, err = q.awaitOwner(); err != nil {
+				return nil, owner, err
+			}
+			want.Server = owner.Server
+		}
+		ticket, err := q.handler.options.Admitter.Admit(q.ctx, want, exclude)
 		if err != nil {
 			return nil, owner, err
 		}
-		want.Server = owner.Server
-		ticket, err := q.handler.options.Admitter.Admit(q.ctx, want, nil)
+		granted, only, err := q.permit(ticket)
 		if err != nil {
 			return nil, owner, err
 		}
+		if !granted {
+			if want.Server = only; only != "" {
+				exclude = nil
+			}
+			continue
+		}
+		if !q.service.Keyed {
+			return ticket, owner, nil
+		}
 		now := q.handler.options.Resolver.Owner(q.service.Name, q.position)
 		if now.State == routing.StateServed && now.Server == owner.Server {
 			return ticket, now, nil
 		}
 		ticket.Done(admission.OutcomeCanceled, 0)
+		q.settle(admission.OutcomeCanceled)
 	}
 }
 
 // next decides whether the request may be sent again after f and prepares it;
 // it returns the error to answer with if not.
-func (q *request) next(f *failure, server topology.ServerName, owner routing.Owner) error {
+func (q *request) next(f *failure, server topology.ServerName, owner routing.Owner, p *part) error {
 	now := time.Now()
 	err := f.answer(server)
 	if f.seen == SeenShed {
@@ -172,12 +202,23 @@
 		q.avoid = avoidance{owner: owner, until: now.Add(renewalWait << min(q.attempts-1, 4)), err: err}
 		return nil
 	}
+	// An attempt that was not sent put no load on an upstream. The rest of an
+	// answer is sent only once, so it is not extra load either, but it gives
+	// way to other requests in overload.
+	budgeted := f.seen == SeenShed || f.seen == SeenUnknown && p == nil
+	if p != nil && q.service.budget.Overloaded(now) {
+		return err
+	}
 	pause := retry.Backoff(q.attempts, retryBase, retryLimit, rand.Float64())
 	if q.service.Keyed {
-		q.avoid = avoidance{owner: owner, until: now.Add(pause), budgeted: true, err: err}
+		q.avoid = avoidance{owner: owner, until: now.Add(pause), budgeted: budgeted, err: err}
+		if q.attempts == q.handler.limits.Attempts-1 {
+			// The last attempt is saved for the owner that takes over.
+			q.avoid.until = time.Time{}
+		}
 		return nil
 	}
-	if !q.service.budget.Allow(now) {
+	if budgeted && !q.service.budget.Allow(now) {
 		return err
 	}
 	q.exclude = append(q.exclude, server)
--- a/internal/proxy/seen.go
+++ b/internal/proxy/seen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/cassiasill/cassiasill/internal/admission"
 	"github.com/cassiasill/cassiasill/internal/apierror"
@@ -50,13 +51,14 @@
 	// broken is set if the upstream broke the connection after the request
 	// was sent: possible evidence of a crash.
 	broken bool
+	at     time.Time
 }
 
 // failed classifies the error of a round trip. It ends the attempt: what has
 // not been sent by now never will be.
 func failed(ctx context.Context, x *exchange, err error, bodyErr error) *failure {
 	connected, sent, _ := x.seal()
-	f := &failure{err: err}
+	f := &failure{err: err, at: time.Now()}
 	switch {
 	case !connected:
 		f.seen, f.kind = SeenNotConnected, apierror.KindUpstreamRefused
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/admission"
 	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/idempotency"
 )
 
 // part is the rest of an answer that broke off: positions of the whole
@@ -113,7 +115,10 @@
 		if len(a.head) == 0 {
 			err = nil // net/http refuses even empty bodies where none may be
 		}
-		a.end(admission.OutcomeOK)
+		if q.keep && len(a.head) <= idempotency.MaxAnswerBytes {
+			q.kept = &idempotency.Answer{Status: r.StatusCode, Header: header.Clone(), Body: bytes.Clone(a.head)}
+		}
+		q.end(a, admission.OutcomeOK)
 		return callerGone(err)
 	}
 	return q.stream(a)
@@ -148,13 +153,13 @@
 		if a.response.ContentLength >= 0 {
 			left -= int64(len(chunk))
 			if err == io.EOF && (left != 0 || a.exchange.excess(a.response.ContentLength) > 0) {
-				a.end(admission.OutcomeFailed)
+				q.end(a, admission.OutcomeFailed)
 				return invalid("the answer is not as long as announced").answer(a.upstream.server.Name)
 			}
 		}
 		_ = control.SetWriteDeadline(time.Now().Add(stallTime))
 		if _, werr := q.w.Write(chunk); werr != nil {
-			a.end(admission.OutcomeCanceled)
+			q.end(a, admission.OutcomeCanceled)
 			return callerGone(werr)
 		}
 		if p != nil {
@@ -162,7 +167,7 @@
 		}
 		switch {
 		case err == io.EOF:
-			a.end(admission.OutcomeOK)
+			q.end(a, admission.OutcomeOK)
 			return nil
 		case err != nil:
 			stall.Stop()
@@ -192,7 +197,9 @@
 	f := failed(q.ctx, a.exchange, cause, nil)
 	f.seen = SeenUnknown
 	server := a.upstream.server.Name
-	a.end(f.outcome())
+	u := a.upstream
+	a.release(f.outcome())
+	q.settleFailure(f, u)
 	q.logAttempt(server, a.owner, f.seen, a.latency, cause)
 	if p == nil || q.ctx.Err() != nil {
 		return nil, f.answer(server)
@@ -202,7 +209,7 @@
 		q.timer.Reset(q.handler.limits.StallTime)
 		defer q.timer.Stop()
 	}
-	if err := q.next(f, server, a.owner); err != nil {
+	if err := q.next(f, server, a.owner, p); err != nil {
 		return nil, err
 	}
 	rest, err := q.forward(p)
--- /dev/null
+++ b/internal/proxy/stream_test.go
@@ -0,0 +1,154 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cassiasill/cassiasill/internal/admission"
+	"github.com/cassiasill/cassiasill/internal/routing"
+)
+
+// document is a text whose every position can be told from its neighbors.
+var document = func() string {
+	var b strings.Builder
+	for i := range 40_000 {
+		fmt.Fprintf(&b, "%07d|", i)
+	}
+	return b.String()
+}()
+
+// sendDocument answers a whole request with the document's first cut bytes and
+// then breaks the connection, and a request for a range with that range.
+// Change may distort the answer's head.
+func sendDocument(cut int, change func(head string) string) step {
+	return func(c *call) {
+		if !c.read() {
+			return
+		}
+		first, last, status, extra := 0, len(document)-1, "200 OK", ""
+		if r := c.r.Header.Get("Range"); r != "" && (c.r.Header.Get("If-Range") == `"v1"` || c.r.Header.Get("If-Range") == "") {
+			_, _ = fmt.Sscanf(r, "bytes=%d-%d", &first, &last)
+			status, extra = "206 Partial", fmt.Sprintf("Content-Range: bytes %d-%d/%d\n", first, last, len(document))
+		}
+		head := fmt.Sprintf("HTTP/1.1 %s\nCassiasill-Request-Id: %s\nETag: \"v1\"\n%sContent-Length: %d\n\n",
+			status, c.r.Header.Get("Cassiasill-Request-Id"), extra, last+1-first)
+		if change != nil {
+			head = change(head)
+		}
+		_, _ = io.WriteString(c.conn, strings.ReplaceAll(head, "\n", "\r\n"))
+		_, _ = io.WriteString(c.conn, document[first:min(last+1, first+cut)])
+		if cut <= last-first {
+			c.conn.Close()
+		}
+	}
+}
+
+func replaced(old, new string) func(string) string {
+	return func(head string) string { return strings.Replace(head, old, new, 1) }
+}
+
+// Guards against a download that fails though it can be continued, and against
+// one that is put together from different versions or positions, or passed as
+// whole when it is not.
+func TestBrokenDownload(t *testing.T) {
+	const whole = 1 << 30
+	cut := sendDocument(100_000, nil)
+	size := strconv.Itoa(len(document))
+	cases := []struct {
+		name        string
+		method      string
+		headers     []string
+		first, rest step
+		want        string // empty: the transfer is visibly broken
+	}{
+		{"continued", "GET", nil, cut, sendDocument(whole, nil), document},
+		{"continued twice", "GET", nil, cut, sendDocument(100_000, nil), document},
+		{"range continued", "GET", []string{"Range", "bytes=1000-250000"}, cut, sendDocument(whole, nil), document[1000:250001]},
+		{"another version", "GET", nil, cut, sendDocument(whole, replaced(`"v1"`, `"v2"`)), ""},
+		{"no version", "GET", nil, sendDocument(100_000, replaced("ETag", "X")), sendDocument(whole, nil), ""},
+		{"weak version", "GET", nil, sendDocument(100_000, replaced(`"v1"`, `W/"v1"`)), sendDocument(whole, nil), ""},
+		{"whole instead of the rest", "GET", nil, cut, sendDocument(whole, replaced("206 Partial", "200 OK")), ""},
+		{"another position", "GET", nil, cut, sendDocument(whole, replaced("bytes 100000-", "bytes 100001-")), ""},
+		{"another total", "GET", nil, cut, sendDocument(whole, replaced("/"+size, "/9999999")), ""},
+		{"no range given", "GET", nil, cut, sendDocument(whole, replaced("Content-Range", "X")), ""},
+		{"another request's rest", "GET", nil, cut, sendDocument(whole, replaced("Request-Id: ", "Request-Id: 0")), ""},
+		{"not repeatable", "POST", nil, cut, sendDocument(whole, nil), ""},
+		{"too long", "GET", nil, sendDocument(whole, replaced("Content-Length: "+size, "Content-Length: 200000")), sendDocument(whole, nil), ""},
+		{"chunks cut off", "GET", nil, sendDocument(100_000, replaced("Content-Length: "+size, "Transfer-Encoding: chunked\n\nfffff")), sendDocument(whole, nil), ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			first, second, third := newFake(t, c.first), newFake(t, c.rest), newFake(t, sendDocument(whole, nil))
+			h := newHarness(t, nil, first, second, third)
+			_, body, err := h.do(t, c.method, "/free/doc", nil, c.headers...)
+			if c.want != "" {
+				assert.NilError(t, err)
+				assert.Assert(t, body == c.want, "%d bytes instead of %d", len(body), len(c.want))
+			} else {
+				assert.Assert(t, err != nil, "%d bytes were passed as whole", len(body))
+			}
+			h.drained(t)
+		})
+	}
+}
+
+// Guards against a download of a moved key that ends with its old owner.
+func TestDownloadContinuesAtNewOwner(t *testing.T) {
+	var h *harness
+	old := newFake(t, func(c *call) {
+		h.routes.set(routing.Owner{State: routing.StateWaiting})
+		sendDocument(100_000, nil)(c)
+		h.routes.set(served("s1", 2))
+	})
+	owner := newFake(t, sendDocument(1<<30, nil))
+	h = newHarness(t, func(o *Options) {
+		o.Services[0].Routes = []Route{{Class: admission.ClassDownload, Repeatable: true}}
+	}, old, owner)
+	_, body, err := h.do(t, "GET", "/keyed/k", nil)
+	assert.NilError(t, err)
+	assert.Assert(t, body == document)
+	assert.Equal(t, owner.last().r.Header.Get("Cassiasill-Fencing-Token"), "7.2")
+	assert.Equal(t, owner.last().r.Header.Get("Range"), fmt.Sprintf("bytes=100000-%d", len(document)-1))
+}
+
+// Guards against downloads or uploads that are held in memory as a whole.
+func TestLargeBodiesStreamInBoundedMemory(t *testing.T) {
+	const size = 256 << 20
+	up := newFake(t, func(c *call) {
+		r, err := http.ReadRequest(c.in)
+		if err != nil {
+			return
+		}
+		n, _ := io.Copy(io.Discard, r.Body)
+		c.r = r
+		fmt.Fprintf(c.conn, "HTTP/1.1 200 OK\r\nCassiasill-Request-Id: %s\r\nX-Read: %d\r\nContent-Length: %d\r\n\r\n",
+			r.Header.Get("Cassiasill-Request-Id"), n, size)
+		_, _ = io.CopyN(c.conn, zeros{}, size)
+	})
+	h := newHarness(t, func(o *Options) { o.Limits.RequestBytes = size }, up)
+	r, err := http.NewRequest("POST", h.server.URL+"/free/doc", io.LimitReader(zeros{}, size))
+	assert.NilError(t, err)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	answer, err := h.server.Client().Do(r)
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	n, err := io.Copy(io.Discard, answer.Body)
+	assert.NilError(t, err)
+	runtime.ReadMemStats(&after)
+	assert.Equal(t, n, int64(size))
+	assert.Equal(t, answer.Header.Get("X-Read"), strconv.Itoa(size))
+	// A sixteenth of the bytes: buffers and headers, but no copy of a body.
+	assert.Assert(t, after.TotalAlloc-before.TotalAlloc < size/16, "%d bytes allocated", after.TotalAlloc-before.TotalAlloc)
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -24,6 +24,10 @@
 	// broken counts the connections that the server broke since brokenAt.
 	broken   int
 	brokenAt time.Time
+
+	probing      sync.Mutex // held during a probe
+	probedAt     time.Time
+	probeCrashed bool
 }
 
 // dialError marks a failure to connect, which proves that nothing was sent.
@@ -55,7 +59,7 @@
 }
 
 func (u *upstream) track(c net.Conn) *conn {
-	t := &conn{Conn: c, upstream: u}
+	t := &conn{Conn: c, upstream: u, opened: time.Now()}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.conns[t] = struct{}{}
@@ -86,6 +90,7 @@
 type conn struct {
 	net.Conn
 	upstream *upstream
+	opened   time.Time
 
 	mu      sync.Mutex
 	current *exchange
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -33,7 +33,7 @@
 				return owner, nil
 			}
 			err, retryAt = q.avoid.err, q.avoid.until
-			if !now.Before(retryAt) {
+			if !retryAt.IsZero() && !now.Before(retryAt) {
 				if !q.avoid.budgeted || q.service.budget.Allow(now) {
 					return owner, nil
 				}
