--- a/internal/idempotency/idempotency_test.go
+++ b/internal/idempotency/idempotency_test.go
@@ -30,7 +30,9 @@
 	return c
 }
 
-func (c *cluster) hosts() []topology.HostName { return []topology.HostName{"h1", "h2", "h3", "h4", "h5"} }
+func (c *cluster) hosts() []topology.HostName {
+	return []topology.HostName{"h1", "h2", "h3", "h4", "h5"}
+}
 
 func (c *cluster) Reserve(_ context.Context, host topology.HostName, claim Claim) (Reply, error) {
 	c.mu.Lock()
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -37,6 +37,8 @@
 	buffer   *[headBytes]byte
 	head     []byte // the part of the body that was read
 	whole    bool   // head is the whole body
+	length   int64  // bytes that the body must have, -1 if unknown
+	left     int64  // bytes of it that have not been read
 }
 
 var buffers = sync.Pool{New: func() any { return new([headBytes]byte) }}
@@ -152,27 +154,24 @@
 // readHead reads a small answer whole, and of others what has arrived.
 func (q *request) readHead(a *answer) *failure {
 	a.buffer = buffers.Get().(*[headBytes]byte)
-	length := a.response.ContentLength
+	a.length = a.response.ContentLength
 	if !hasBody(q.r.Method, a.response.StatusCode) {
-		length = 0
+		a.length = 0
 	}
-	n, err := 0, error(nil)
-	for err == nil && n < headBytes {
+	a.left = a.length
+	small := a.left >= 0 && a.left <= headBytes
+	n, err := a.read(a.buffer[:])
+	for small && err == nil {
 		var k int
-		k, err = a.response.Body.Read(a.buffer[n:])
+		k, err = a.read(a.buffer[n:])
 		n += k
-		if length < 0 || length > headBytes {
-			break
-		}
 	}
 	a.head = a.buffer[:n]
+	a.whole = err == io.EOF
 	switch {
-	case err == io.EOF:
-		a.whole = true
-		if length >= 0 && a.exchange.excess(length) > 0 {
-			return invalid("the answer is longer than its Content-Length")
-		}
-	case err != nil:
+	case errors.Is(err, errTooLong):
+		return invalid("%w", err)
+	case err != nil && err != io.EOF:
 		f := failed(q.ctx, a.exchange, err, q.body.failure())
 		f.seen = SeenUnknown
 		return f
@@ -180,6 +179,35 @@
 	return nil
 }
 
+var errTooLong = errors.New("the answer is longer than announced")
+
+// read reads the next bytes of the body. Before it takes the last one, after
+// which net/http would use the connection again, it checks that no more bytes
+// than announced have arrived. The byte before the last is read by itself: it
+// passes through net/http's buffer, which then also takes in what follows.
+func (a *answer) read(p []byte) (int, error) {
+	n := 0
+	for {
+		next := p[n:]
+		switch {
+		case a.left > 2:
+			next = next[:min(int64(len(next)), a.left-2)]
+		case a.left == 2:
+			next = next[:1]
+		case a.left >= 0 && a.exchange.excess(a.length) > 0:
+			return n, errTooLong
+		}
+		k, err := a.response.Body.Read(next)
+		n += k
+		if a.left >= 0 {
+			a.left -= int64(k)
+		}
+		if err != nil || a.left < 0 || a.left > 2 || n == len(p) {
+			return n, err
+		}
+	}
+}
+
 func invalid(format string, args ...any) *failure {
 	return &failure{seen: SeenUnknown, kind: apierror.KindUpstreamAnswer, err: fmt.Errorf(format, args...)}
 }
--- /dev/null
+++ b/internal/proxy/framing_test.go
@@ -0,0 +1,84 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a request that the handler and an upstream frame differently,
+// so that a part of one is taken for another (request smuggling), and against
+// requests that must be refused before an upstream sees them.
+func TestRequestFraming(t *testing.T) {
+	hidden := "POST /free/hidden HTTP/1.1\nHost: x\nContent-Length: 0\n\n"
+	cases := []struct {
+		name, request string
+		status        int
+		kind          string
+		seen          string // "method uri length|encodings body" of each executed request
+	}{
+		{"two lengths", "POST /free/a HTTP/1.1\nHost: x\nContent-Length: 3\nContent-Length: 4\n\nabcd", 400, "", ""},
+		{"one length twice", "POST /free/a HTTP/1.1\nHost: x\nContent-Length: 3\nContent-Length: 3\n\nabc", 200, "", "POST /free/a 3[] abc"},
+		{"length list", "POST /free/a HTTP/1.1\nHost: x\nContent-Length: 3, 3\n\nabc", 400, "", ""},
+		{"length and chunks", "POST /free/a HTTP/1.1\nHost: x\nContent-Length: 4\nTransfer-Encoding: chunked\n\n3\nabc\n0\n\n", 200, "", "POST /free/a 3[] abc"},
+		{"chunks and hidden request", "POST /free/a HTTP/1.1\nHost: x\nContent-Length: 9999\nTransfer-Encoding: chunked\n\n0\n\n" + hidden, 200, "",
+			"POST /free/a 0[] ;POST /free/hidden 0[] "},
+		{"unknown encoding", "POST /free/a HTTP/1.1\nHost: x\nTransfer-Encoding: gzip, chunked\n\n0\n\n", 501, "", ""},
+		{"space before colon", "POST /free/a HTTP/1.1\nHost: x\nContent-Length : 3\n\nabc", 400, "", ""},
+		{"body cut off", "POST /free/a HTTP/1.1\nHost: x\nContent-Length: 30\n\nabc", 400, "bad-request", ""},
+		{"dot segments", "GET /free/a/../b HTTP/1.1\nHost: x\n\n", 400, "bad-request", ""},
+		{"escaped dot segments", "GET /keyed/%2e%2e/b HTTP/1.1\nHost: x\n\n", 400, "bad-request", ""},
+		{"no key", "GET /keyed/ HTTP/1.1\nHost: x\n\n", 400, "bad-request", ""},
+		{"no service", "GET /none/a HTTP/1.1\nHost: x\n\n", 404, "not-found", ""},
+		{"tunnel", "CONNECT x:80 HTTP/1.1\nHost: x:80\n\n", 405, "method-not-allowed", ""},
+		{"other method", "PURGE /free/a//b/ HTTP/1.1\nHost: x\n\n", 200, "", "PURGE /free/a//b/ 0[] "},
+		{"many headers", "GET /free/a HTTP/1.1\nHost: x\n" + strings.Repeat("A: b\n", 101) + "\n", 413, "too-large", ""},
+		{"long header", "GET /free/a HTTP/1.1\nHost: x\nA: " + strings.Repeat("b", 33<<10) + "\n\n", 413, "too-large", ""},
+		{"long body", "POST /free/a HTTP/1.1\nHost: x\nContent-Length: 99999999999\n\n", 413, "too-large", ""},
+		{"upgrade", "GET /free/a HTTP/1.1\nHost: x\nConnection: upgrade\nUpgrade: websocket\n\n", 200, "", "GET /free/a 0[] "},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			up := newFake(t, ok("done"))
+			h := newHarness(t, nil, up)
+			conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, strings.ReplaceAll(c.request, "\n", "\r\n"))
+			assert.NilError(t, err)
+			if c.name == "body cut off" {
+				assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+			}
+			in := bufio.NewReader(conn)
+			answer, err := http.ReadResponse(in, nil)
+			assert.NilError(t, err)
+			body, err := io.ReadAll(answer.Body)
+			assert.NilError(t, err)
+			for range strings.Count(c.seen, ";") {
+				next, err := http.ReadResponse(in, nil)
+				assert.NilError(t, err)
+				_, err = io.Copy(io.Discard, next.Body)
+				assert.NilError(t, err)
+			}
+			assert.Equal(t, answer.StatusCode, c.status)
+			if c.kind != "" {
+				kind, executed := problem(t, answer, string(body))
+				assert.Equal(t, kind+" "+executed, c.kind+" no")
+			}
+			up.mu.Lock()
+			defer up.mu.Unlock()
+			var seen []string
+			for _, call := range up.calls {
+				seen = append(seen, fmt.Sprintf("%s %s %d%v %s", call.r.Method, call.r.RequestURI, call.r.ContentLength, call.r.TransferEncoding, call.body))
+				assert.Equal(t, call.r.Header.Get("Upgrade"), "")
+			}
+			assert.Equal(t, strings.Join(seen, ";"), c.seen)
+		})
+	}
+}
--- /dev/null
+++ b/internal/proxy/guard_test.go
@@ -0,0 +1,224 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cassiasill/cassiasill/internal/admission"
+	"github.com/cassiasill/cassiasill/internal/idempotency"
+	"github.com/cassiasill/cassiasill/internal/quarantine"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// afterRead runs s on a request that was read, and answers requests whose
+// caller is not "bad".
+func afterRead(s step) step {
+	return func(c *call) {
+		switch {
+		case !c.read():
+		case c.r.Header.Get("X-Caller") == "bad":
+			s(c)
+		default:
+			c.up.mu.Lock()
+			c.up.calls = c.up.calls[:len(c.up.calls)-1]
+			c.up.mu.Unlock()
+			fmt.Fprintf(c.conn, "HTTP/1.1 204 OK\r\nCassiasill-Request-Id: %s\r\n\r\n", c.r.Header.Get("Cassiasill-Request-Id"))
+		}
+	}
+}
+
+// Guards against a request that takes down more than two upstreams, and against
+// requests that are quarantined though no upstream crashed.
+func TestCrashingRequest(t *testing.T) {
+	stall := func(c *call) { _, _ = c.in.Peek(1) }
+	cases := []struct {
+		name, method string
+		warm         int // requests that fill the retry budget
+		step         step
+		executions   int // of six sendings to four upstreams
+		millis       string
+		last         string
+	}{
+		{"crash", "POST", 0, crash, 2, "10000", "quarantined no"},
+		{"crash of a lookup that is retried", "GET", 40, crash, 2, "10000", "quarantined no"},
+		{"one connection broken", "POST", 0, reset, 6, "10000", "upstream-failed unknown"},
+		{"deadline passed", "POST", 0, stall, 6, "200", "timeout unknown"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var fakes []*fakeUpstream
+			for range 4 {
+				fakes = append(fakes, newFake(t, afterRead(c.step)))
+			}
+			h := newHarness(t, func(o *Options) { o.Quarantine = quarantine.New(1, 0) }, fakes...)
+			send := func(caller, path string) string {
+				answer, body, err := h.do(t, c.method, path, nil, "X-Caller", caller, headerTimeout, c.millis)
+				assert.NilError(t, err)
+				if answer.StatusCode == http.StatusNoContent {
+					return ""
+				}
+				kind, executed := problem(t, answer, body)
+				return kind + " " + executed
+			}
+			for range c.warm {
+				assert.Equal(t, send("good", "/free/doc"), "")
+			}
+			last := ""
+			for range 6 {
+				last = send("bad", "/free/doc")
+			}
+			total := 0
+			for _, f := range fakes {
+				total += f.executions()
+			}
+			assert.Equal(t, last, c.last)
+			assert.Equal(t, total, c.executions)
+			assert.Equal(t, send("good", "/free/doc?2"), "", "another caller's request is refused")
+			h.drained(t)
+		})
+	}
+}
+
+// Guards against crashes that are overlooked because the upstream was restarted
+// at once, and against single broken connections taken for crashes.
+func TestCrashVerdict(t *testing.T) {
+	cases := []struct {
+		name          string
+		open, broken  int
+		closeNew      bool
+		closeListener bool
+		want          bool
+	}{
+		{"only connection broken", 1, 1, false, false, false},
+		{"one of two broken", 2, 1, false, false, false},
+		{"all of two broken", 2, 2, false, false, true},
+		{"new connections are broken", 2, 1, true, false, true},
+		{"new connections are refused", 1, 1, false, true, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer listener.Close()
+			u := newUpstream(topology.Server{Address: listener.Addr().String()}, Limits{}.Defaults(), (&net.Dialer{}).DialContext)
+			var near, far []net.Conn
+			for i := range c.open {
+				conn, err := u.transport.DialContext(t.Context(), "tcp", "")
+				assert.NilError(t, err)
+				near = append(near, conn)
+				defer near[i].Close()
+				conn, err = listener.Accept()
+				assert.NilError(t, err)
+				far = append(far, conn)
+				defer far[i].Close()
+			}
+			for i := range c.broken {
+				far[i].Close()
+				_, err = near[i].Read(make([]byte, 1))
+				assert.ErrorContains(t, err, "EOF")
+			}
+			if c.closeListener {
+				listener.Close()
+			}
+			accepted := make(chan struct{})
+			go func() {
+				defer close(accepted)
+				if far, err := listener.Accept(); err == nil && c.closeNew {
+					far.Close()
+				}
+			}()
+			assert.Equal(t, u.crashed(time.Now()), c.want)
+			<-accepted
+		})
+	}
+}
+
+// localKeeper reaches the tables of two hosts.
+type localKeeper map[topology.HostName]*idempotency.Table
+
+func (k localKeeper) Reserve(_ context.Context, host topology.HostName, claim idempotency.Claim) (idempotency.Reply, error) {
+	return k[host].Reserve(claim, time.Now())
+}
+
+// Guards against a booking with an idempotency key that is executed twice when
+// its caller resends it (G5), and against one that stays refused though it was
+// provably not executed.
+func TestResentBooking(t *testing.T) {
+	cases := []struct {
+		name       string
+		first      step
+		key, body  string // of the resent booking
+		otherHost  bool
+		want       string
+		executions int
+	}{
+		{"executed", ok("done"), "k", "b", false, "200 replayed", 1},
+		{"executed, through another host", ok("done"), "k", "b", true, "409 unknown", 1},
+		{"unknown", then(readOnly, reset), "k", "b", false, "409 unknown", 1},
+		{"unknown, through another host", then(readOnly, reset), "k", "b", true, "409 unknown", 1},
+		{"shed", refuse(shedAnswer), "k", "b", false, "200", 1},
+		{"shed, through another host", refuse(shedAnswer), "k", "b", true, "200", 1},
+		{"another booking with the key", ok("done"), "k", "c", true, "400 no", 1},
+		{"another key", ok("done"), "k2", "b", false, "200", 2},
+		{"key too long", ok("done"), strings.Repeat("k", 256), "b", false, "400 no", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			up := newFake(t, c.first, ok("done"))
+			keeper := localKeeper{"h1": idempotency.NewTable(0), "h2": idempotency.NewTable(0)}
+			hosts := func() []topology.HostName { return []topology.HostName{"h1", "h2"} }
+			var harnesses [2]*harness
+			for i := range harnesses {
+				harnesses[i] = newHarness(t, func(o *Options) { o.Idempotency = idempotency.NewClient(keeper, hosts) }, up)
+			}
+			send := func(h *harness, key, body string) string {
+				answer, text, err := h.do(t, "POST", "/free/book", strings.NewReader(body), "Idempotency-Key", key, "X-Caller", "driver")
+				assert.NilError(t, err)
+				got := fmt.Sprint(answer.StatusCode, " ", answer.Header.Get("Cassiasill-Executed"))
+				if answer.Header.Get(headerReplayed) != "" {
+					assert.Equal(t, text, "done")
+					got += "replayed"
+				}
+				return strings.TrimSpace(got)
+			}
+			send(harnesses[0], "k", "b")
+			h := harnesses[0]
+			if c.otherHost {
+				h = harnesses[1]
+			}
+			assert.Equal(t, send(h, c.key, c.body), c.want)
+			assert.Equal(t, up.executions(), c.executions)
+		})
+	}
+}
+
+// Guards against work that an upstream goes on with after its caller left.
+func TestCanceledRequestEndsAtUpstream(t *testing.T) {
+	arrived, gone := make(chan struct{}), make(chan error, 1)
+	up := newFake(t, func(c *call) {
+		c.read()
+		close(arrived)
+		_, err := c.in.Peek(1)
+		gone <- err
+	})
+	h := newHarness(t, func(o *Options) { o.Quarantine = quarantine.New(1, 0) }, up)
+	ctx, cancel := context.WithCancel(t.Context())
+	r, err := http.NewRequestWithContext(ctx, "POST", h.server.URL+"/free/book", nil)
+	assert.NilError(t, err)
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err = h.server.Client().Do(r)
+	assert.ErrorContains(t, err, "canceled")
+	assert.Assert(t, <-gone != nil)
+	h.drained(t)
+	assert.DeepEqual(t, h.admitter.outcomes, []admission.Outcome{admission.OutcomeCanceled})
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -147,16 +147,8 @@
 	if q.r.Method == http.MethodGet && q.route.Repeatable {
 		p = partOf(a.response)
 	}
-	left := a.response.ContentLength
 	chunk, err := a.head, error(nil)
 	for {
-		if a.response.ContentLength >= 0 {
-			left -= int64(len(chunk))
-			if err == io.EOF && (left != 0 || a.exchange.excess(a.response.ContentLength) > 0) {
-				q.end(a, admission.OutcomeFailed)
-				return invalid("the answer is not as long as announced").answer(a.upstream.server.Name)
-			}
-		}
 		_ = control.SetWriteDeadline(time.Now().Add(stallTime))
 		if _, werr := q.w.Write(chunk); werr != nil {
 			q.end(a, admission.OutcomeCanceled)
@@ -169,24 +161,25 @@
 		case err == io.EOF:
 			q.end(a, admission.OutcomeOK)
 			return nil
+		case errors.Is(err, errTooLong):
+			q.end(a, admission.OutcomeFailed)
+			return invalid("%w", err).answer(a.upstream.server.Name)
 		case err != nil:
-			stall.Stop()
 			if a, err = q.resume(a, p, err); err != nil {
 				return err
 			}
-			left = a.response.ContentLength
 			chunk = a.head
 			if a.whole {
 				err = io.EOF
 			}
 			continue
 		}
-		if a.response.ContentLength < 0 {
+		if a.length < 0 {
 			_ = control.Flush() // a failure shows at the next write
 		}
 		stall.Reset(stallTime)
 		var n int
-		n, err = a.response.Body.Read(a.buffer[:])
+		n, err = a.read(a.buffer[:])
 		stall.Stop()
 		chunk = a.buffer[:n]
 	}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -21,7 +21,8 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	// broken counts the connections that the server broke since brokenAt.
+	// broken counts the connections that were open at brokenAt and that the
+	// server broke then or soon after.
 	broken   int
 	brokenAt time.Time
 
@@ -78,11 +79,12 @@
 		return
 	}
 	now := time.Now()
-	if now.Sub(u.brokenAt) > crashWindow {
-		u.broken = 0
-		u.brokenAt = now
+	switch {
+	case now.Sub(u.brokenAt) > crashWindow:
+		u.broken, u.brokenAt = 1, now
+	case c.opened.Before(u.brokenAt):
+		u.broken++
 	}
-	u.broken++
 }
 
 // conn is a connection that reports each read and write to the exchange that
