--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -21,9 +21,14 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	// broken counts the connections that the server broke since brokenAt.
+	// broken counts the connections that were open at brokenAt and that the
+	// server broke then or soon after.
 	broken   int
 	brokenAt time.Time
+
+	probing      sync.Mutex // held during a probe
+	probedAt     time.Time
+	probeCrashed bool
 }
 
 // dialError marks a failure to connect, which proves that nothing was sent.
@@ -55,7 +60,7 @@
 }
 
 func (u *upstream) track(c net.Conn) *conn {
-	t := &conn{Conn: c, upstream: u}
+	t := &conn{Conn: c, upstream: u, opened: time.Now()}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.conns[t] = struct{}{}
@@ -74,11 +79,12 @@
 		return
 	}
 	now := time.Now()
-	if now.Sub(u.brokenAt) > crashWindow {
-		u.broken = 0
-		u.brokenAt = now
+	switch {
+	case now.Sub(u.brokenAt) > crashWindow:
+		u.broken, u.brokenAt = 1, now
+	case c.opened.Before(u.brokenAt):
+		u.broken++
 	}
-	u.broken++
 }
 
 // conn is a connection that reports each read and write to the exchange that
@@ -86,6 +92,7 @@
 type conn struct {
 	net.Conn
 	upstream *upstream
+	opened   time.Time
 
 	mu      sync.Mutex
 	current *exchange
