--- /dev/null
+++ b/internal/configsync/configsync_test.go
@@ -0,0 +1,345 @@
+package configsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/declaration"
+	"github.com/cassiasill/cassiasill/internal/store"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// inForceWithin is the guarantee G8.
+const inForceWithin = 5 * time.Second
+
+// inCluster runs test with twelve hosts on a virtual clock.
+func inCluster(t *testing.T, test func(t *testing.T, ctx context.Context, s *fakeStore, hosts []*fakeHost)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := newFakeStore()
+		hosts := startCluster(ctx, s, 12)
+		defer func() {
+			cancel()
+			time.Sleep(10 * time.Second) // lets every goroutine see the end
+			synctest.Wait()
+		}()
+		time.Sleep(time.Second)
+		test(t, ctx, s, hosts)
+	})
+}
+
+func labels(server string, revision uint64, pairs ...string) Edit {
+	d := &declaration.Document{
+		APIVersion: declaration.APIVersion, Kind: declaration.KindServerLabels, Metadata: declaration.Metadata{Name: server},
+		Spec: declaration.Spec{Service: "inventario", Server: topology.ServerName(server), Labels: topology.Labels{}},
+	}
+	for _, pair := range pairs {
+		name, value, _ := strings.Cut(pair, "=")
+		d.Spec.Labels[name] = value
+	}
+	return Edit{Key: d.Key(), BaseRevision: revision, BaseAbsent: revision == 0, Document: d}
+}
+
+func change(id string, edits ...Edit) Change {
+	return Change{ID: "change-" + id, Author: "operator-" + id, Edits: edits}
+}
+
+func mustApply(t *testing.T, h *fakeHost, c Change) Result {
+	t.Helper()
+	r, err := h.writer.Apply(context.Background(), c)
+	assert.NilError(t, err)
+	return r
+}
+
+func kindOf(err error) apierror.Kind {
+	if err == nil {
+		return ""
+	}
+	return apierror.From(err).Kind
+}
+
+// requireInForce waits for the bound and checks that every host has exactly
+// the label, and keeps it.
+func requireInForce(t *testing.T, hosts []*fakeHost, revision uint64, server topology.ServerName, label, value string) {
+	t.Helper()
+	time.Sleep(inForceWithin)
+	for _, h := range hosts {
+		set := h.follower.Current()
+		got, _ := set.ServerLabels("inventario", server)
+		assert.Assert(t, set.Revision() >= revision && got[label] == value,
+			"%s: revision %d, %s=%q; want at least %d, %q", h.name, set.Revision(), label, got[label], revision, value)
+		assert.Assert(t, h.follower.Fresh(), "%s is not fresh", h.name)
+	}
+}
+
+// Guards against a change that is accepted but not in force everywhere, or
+// reverted, when a fault strikes at any step of it.
+func TestChangeInForceEverywhereDespiteFault(t *testing.T) {
+	type world struct {
+		store *fakeStore
+		hosts []*fakeHost
+	}
+	faults := []struct {
+		name           string
+		before, after  func(w world)
+		mayBeRefusedAs apierror.Kind
+	}{
+		{name: "none"},
+		{name: "store down before the write", mayBeRefusedAs: apierror.KindStoreUnavailable,
+			before: func(w world) { w.store.set(func() { w.store.down = true }) },
+			after:  func(w world) { w.store.set(func() { w.store.down = false }) }},
+		{name: "write lost before it was applied", mayBeRefusedAs: apierror.KindStoreUnavailable,
+			before: func(w world) { w.store.set(func() { w.store.loseBefore = 1 }) }},
+		{name: "written but unanswered",
+			before: func(w world) { w.store.set(func() { w.store.loseAfter = 1 }) }},
+		{name: "store down after half the hosts were told",
+			before: func(w world) {
+				for _, h := range w.hosts[6:] {
+					h.setCutOff(true)
+				}
+			},
+			after: func(w world) {
+				w.store.set(func() { w.store.down = true })
+				for _, h := range w.hosts[6:] {
+					h.setCutOff(false)
+				}
+			}},
+		{name: "host resumes with the old revision",
+			before: func(w world) { w.hosts[5].setCutOff(true) },
+			after: func(w world) {
+				time.Sleep(4 * time.Second)
+				w.hosts[5].setCutOff(false)
+			}},
+		{name: "watch compacted",
+			before: func(w world) { w.store.set(func() { close(w.store.cut); w.store.cut = make(chan struct{}) }) }},
+		{name: "watch skips the document",
+			before: func(w world) {
+				w.store.set(func() { w.store.skip = func(e store.Event) bool { return strings.Contains(e.Key, "/docs/") } })
+			}},
+		{name: "watch silent and writer gone",
+			before: func(w world) {
+				w.store.set(func() { w.store.skip = func(store.Event) bool { return true } })
+				w.hosts[3].bus.setMute()
+			}},
+		{name: "store back with a backlog",
+			before: func(w world) {
+				w.store.set(func() { w.store.loseAfter = 1 })
+			},
+			after: func(w world) {
+				w.store.set(func() { w.store.down = true })
+				time.Sleep(time.Minute)
+				w.store.set(func() { w.store.down = false })
+			}},
+	}
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, _ context.Context, s *fakeStore, hosts []*fakeHost) {
+				w := world{s, hosts}
+				first := mustApply(t, hosts[4], change("first", labels("inv-03", 0, "tier=slow")))
+				requireInForce(t, hosts, first.Revision, "inv-03", "tier", "slow")
+				if fault.before != nil {
+					fault.before(w)
+				}
+				second, err := hosts[3].writer.Apply(context.Background(), change("second", labels("inv-03", first.Revision, "tier=fast")))
+				if fault.after != nil {
+					fault.after(w)
+				}
+				if fault.mayBeRefusedAs == "" {
+					assert.NilError(t, err)
+					requireInForce(t, hosts, second.Revision, "inv-03", "tier", "fast")
+					requireInForce(t, hosts, second.Revision, "inv-03", "tier", "fast")
+					return
+				}
+				assert.Equal(t, kindOf(err), fault.mayBeRefusedAs)
+				assert.Equal(t, apierror.From(err).Answer().Executed, apierror.ExecutedNo)
+				requireInForce(t, hosts, first.Revision, "inv-03", "tier", "slow")
+			})
+		})
+	}
+}
+
+// Guards against one of two edits of different fields being lost, and against
+// both edits of the same field being accepted.
+func TestRacingOperators(t *testing.T) {
+	for _, c := range []struct {
+		name, mine string
+		accepted   int
+	}{{"different fields", "zone", 2}, {"same field", "tier", 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, _ context.Context, _ *fakeStore, hosts []*fakeHost) {
+				base := mustApply(t, hosts[0], change("base", labels("inv-03", 0, "tier=slow", "zone=a"))).Revision
+				edits := []Edit{labels("inv-03", base, "tier=fast", "zone=a"), labels("inv-03", base, "tier=slow", "zone=a")}
+				edits[1].Document.Spec.Labels[c.mine] = "other"
+				errs := make(chan error)
+				for i, e := range edits {
+					go func() {
+						_, err := hosts[i*5].writer.Apply(context.Background(), change(fmt.Sprint("race-", i), e))
+						errs <- err
+					}()
+				}
+				accepted := 0
+				for range edits {
+					err := <-errs
+					if err == nil {
+						accepted++
+						continue
+					}
+					assert.Equal(t, kindOf(err), apierror.KindConflict)
+					for _, part := range []string{"ServerLabels/inv-03", "spec.labels.tier", "changed by operator-race-", "cassiasillctl get"} {
+						assert.Assert(t, strings.Contains(err.Error(), part), "%q is missing in: %v", part, err)
+					}
+				}
+				assert.Equal(t, accepted, c.accepted)
+				if c.accepted == 2 {
+					requireInForce(t, hosts, base+2, "inv-03", "tier", "fast")
+					requireInForce(t, hosts, base+2, "inv-03", "zone", "other")
+				}
+			})
+		})
+	}
+}
+
+// Guards against a change whose outcome stays unknown, and against one that is
+// applied after its operator was told that it was not.
+func TestLostAnswerIsResolvedWhenStoreAnswers(t *testing.T) {
+	for _, applied := range []bool{true, false} {
+		t.Run(fmt.Sprintf("applied=%v", applied), func(t *testing.T) {
+			inCluster(t, func(t *testing.T, _ context.Context, s *fakeStore, hosts []*fakeHost) {
+				s.set(func() {
+					s.loseAfter, s.loseBefore = 1, 0
+					if !applied {
+						s.loseAfter, s.loseBefore = 0, 1
+					}
+				})
+				s.beforeTxn = func() { s.set(func() { s.down = true }) }
+				c := change("lost", labels("inv-03", 0, "tier=fast"))
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				_, err := hosts[0].writer.Apply(ctx, c)
+				assert.Equal(t, kindOf(err), apierror.KindStoreUnknown)
+				start := time.Now()
+				_, err = hosts[0].writer.Apply(context.Background(), change("while-down", labels("inv-04", 0, "tier=fast")))
+				assert.Equal(t, kindOf(err), apierror.KindStoreUnavailable)
+				assert.Assert(t, time.Since(start) < callTimeout, "refused after %v", time.Since(start))
+				s.beforeTxn = nil
+				s.set(func() { s.down = false })
+				time.Sleep(time.Second)
+				outcome, err := hosts[7].writer.Outcome(context.Background(), c.ID)
+				assert.NilError(t, err)
+				assert.Equal(t, outcome.Refused, !applied)
+				time.Sleep(inForceWithin)
+				got, _ := hosts[9].follower.Current().ServerLabels("inventario", "inv-03")
+				assert.Equal(t, got["tier"] == "fast", applied)
+			})
+		})
+	}
+}
+
+// Guards against a write that is still on its way taking effect after another
+// host has told the operator that the change was not accepted.
+func TestClosedChangeIsNeverApplied(t *testing.T) {
+	inCluster(t, func(t *testing.T, _ context.Context, s *fakeStore, hosts []*fakeHost) {
+		c := change("delayed", labels("inv-03", 0, "tier=fast"))
+		first := true
+		s.beforeTxn = func() {
+			if first {
+				first = false
+				outcome, err := hosts[1].writer.Outcome(context.Background(), c.ID)
+				assert.NilError(t, err)
+				assert.Assert(t, outcome.Refused)
+			}
+		}
+		_, err := hosts[0].writer.Apply(context.Background(), c)
+		assert.Equal(t, kindOf(err), apierror.KindConflict)
+		assert.Equal(t, hosts[0].follower.Current().Revision(), uint64(0))
+	})
+}
+
+// Guards against a host that goes on under old rules when it is cut off, and
+// against an outage of the store alone taking hosts out of service.
+func TestFreshness(t *testing.T) {
+	inCluster(t, func(t *testing.T, _ context.Context, s *fakeStore, hosts []*fakeHost) {
+		s.set(func() { s.down = true })
+		time.Sleep(time.Minute)
+		for _, h := range hosts {
+			assert.Assert(t, h.follower.Fresh(), "%s left during an outage of the store", h.name)
+		}
+		hosts[6].setCutOff(true)
+		time.Sleep(FreshFor + 100*time.Millisecond)
+		assert.Assert(t, !hosts[6].follower.Fresh(), "a host that is cut off still serves")
+		assert.Assert(t, hosts[7].follower.Fresh())
+		hosts[6].setCutOff(false)
+		time.Sleep(time.Second)
+		assert.Assert(t, hosts[6].follower.Fresh(), "a host that is back does not serve")
+	})
+}
+
+// Guards against a host that missed many revisions, or has just started during
+// an outage of the store, not catching up from its peers alone.
+func TestCatchUpFromPeers(t *testing.T) {
+	inCluster(t, func(t *testing.T, ctx context.Context, s *fakeStore, hosts []*fakeHost) {
+		hosts[11].setCutOff(true)
+		var last Result
+		for i := range 3*maxDeltas + 5 {
+			last = mustApply(t, hosts[i%10], change(fmt.Sprintf("many-%03d", i), labels("inv-03", last.Revision, fmt.Sprintf("round=%d", i))))
+			if i%7 == 0 {
+				time.Sleep(time.Second)
+			}
+		}
+		time.Sleep(inForceWithin)
+		s.set(func() { s.down = true })
+		hosts[11].setCutOff(false)
+		restarted := newFakeHost(s, "host-10", false)
+		restarted.start(ctx, hosts[:10])
+		requireInForce(t, append(hosts[:10:10], hosts[11], restarted), last.Revision, "inv-03", "round", fmt.Sprint(3*maxDeltas+4))
+	})
+}
+
+// Guards against unbounded store calls in a burst of a shift's edits, and
+// against a change over the limit reaching the store.
+func TestBurstAndSizes(t *testing.T) {
+	inCluster(t, func(t *testing.T, _ context.Context, s *fakeStore, hosts []*fakeHost) {
+		const burst = 100
+		errs := make(chan error)
+		s.set(func() { s.calls = 0 })
+		for i := range burst {
+			go func() {
+				key := fmt.Sprintf("inv-%02d", i%15)
+				e := labels(key, 0, "tier=fast")
+				e.Document.Metadata.Name, e.Key.Name = fmt.Sprintf("burst-%d", i), fmt.Sprintf("burst-%d", i)
+				_, err := hosts[2].writer.Apply(context.Background(), change(fmt.Sprintf("burst-%03d", i), e))
+				errs <- err
+			}()
+		}
+		for range burst {
+			assert.NilError(t, <-errs)
+		}
+		s.set(func() { assert.Assert(t, s.calls < 2*burst, "%d store calls for %d changes", s.calls, burst) })
+		big := labels("inv-03", 0, "tier=fast")
+		big.Document.Metadata.Description = strings.Repeat("x", MaxChangeBytes)
+		_, err := hosts[2].writer.Apply(context.Background(), change("too-large", big))
+		assert.Equal(t, kindOf(err), apierror.KindTooLarge)
+		assert.ErrorContains(t, err, fmt.Sprint(MaxChangeBytes))
+	})
+}
+
+// Guards against a part of a change taking effect when another part is refused.
+func TestChangeIsAtomic(t *testing.T) {
+	inCluster(t, func(t *testing.T, _ context.Context, _ *fakeStore, hosts []*fakeHost) {
+		bad := labels("inv-99", 0, "tier=fast")
+		_, err := hosts[0].writer.Apply(context.Background(), change("atomic", labels("inv-03", 0, "tier=fast"), bad))
+		assert.Equal(t, kindOf(err), apierror.KindInvalidDocument)
+		assert.ErrorContains(t, err, `has no server "inv-99" (did you mean "inv-09"?)`)
+		assert.Equal(t, len(hosts[0].follower.Current().Documents()), 0)
+		var structured *apierror.Error
+		assert.Assert(t, errors.As(err, &structured))
+	})
+}
--- /dev/null
+++ b/internal/configsync/fake_test.go
@@ -0,0 +1,365 @@
+package configsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/declaration"
+	"github.com/cassiasill/cassiasill/internal/peersync"
+	"github.com/cassiasill/cassiasill/internal/store"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// fakeStore is a store whose answers and watches fail on demand.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision int64
+	keys     map[string]store.KeyValue
+	log      []store.Event
+	wake     chan struct{}
+	calls    int
+	down     bool
+	// loseBefore and loseAfter lose the next transactions: before they are
+	// applied, or only their answers.
+	loseBefore, loseAfter int
+	// skip drops matching events from all watches; cut ends all watches.
+	skip func(store.Event) bool
+	cut  chan struct{}
+	// beforeTxn, if set, runs before each transaction is applied.
+	beforeTxn func()
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{keys: map[string]store.KeyValue{}, wake: make(chan struct{}), cut: make(chan struct{})}
+}
+
+func (s *fakeStore) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// begin counts a call and takes 2 ms.
+func (s *fakeStore) begin() error {
+	time.Sleep(2 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return &store.Error{Kind: store.KindUnavailable}
+	}
+	return nil
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (store.KeyValue, bool, int64, error) {
+	if err := s.begin(); err != nil {
+		return store.KeyValue{}, false, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kv, ok := s.keys[key]
+	return kv, ok, s.revision, nil
+}
+
+func (s *fakeStore) Range(_ context.Context, prefix string) ([]store.KeyValue, int64, error) {
+	if err := s.begin(); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []store.KeyValue
+	for key, kv := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, kv)
+		}
+	}
+	return out, s.revision, nil
+}
+
+func (s *fakeStore) Txn(_ context.Context, compares []store.Compare, ops []store.Op) (store.TxnResult, error) {
+	if err := s.begin(); err != nil {
+		return store.TxnResult{}, err
+	}
+	if s.beforeTxn != nil {
+		s.beforeTxn()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loseBefore > 0 {
+		s.loseBefore--
+		return store.TxnResult{}, &store.Error{Kind: store.KindAmbiguous}
+	}
+	for _, c := range compares {
+		if s.keys[c.Key].ModRevision != c.ModRevision {
+			return store.TxnResult{Revision: s.revision}, nil
+		}
+	}
+	s.revision++
+	for _, op := range ops {
+		kv := store.KeyValue{Key: op.Key, Value: op.Value, ModRevision: s.revision}
+		if op.Delete {
+			delete(s.keys, op.Key)
+		} else {
+			s.keys[op.Key] = kv
+		}
+		s.log = append(s.log, store.Event{KeyValue: kv, Deleted: op.Delete})
+	}
+	close(s.wake)
+	s.wake = make(chan struct{})
+	if s.loseAfter > 0 {
+		s.loseAfter--
+		return store.TxnResult{}, &store.Error{Kind: store.KindAmbiguous}
+	}
+	return store.TxnResult{Succeeded: true, Revision: s.revision}, nil
+}
+
+func (s *fakeStore) GrantLease(context.Context, time.Duration) (store.LeaseID, error) {
+	return 0, errors.ErrUnsupported
+}
+func (s *fakeStore) KeepAlive(context.Context, store.LeaseID) error   { return errors.ErrUnsupported }
+func (s *fakeStore) RevokeLease(context.Context, store.LeaseID) error { return errors.ErrUnsupported }
+
+type fakeWatch struct {
+	batches chan store.WatchBatch
+	err     error
+}
+
+func (w *fakeWatch) Batches() <-chan store.WatchBatch { return w.batches }
+func (w *fakeWatch) Err() error                       { return w.err }
+
+func (s *fakeStore) Watch(ctx context.Context, prefix string, from int64) store.Watch {
+	w := &fakeWatch{batches: make(chan store.WatchBatch)}
+	go func() {
+		defer close(w.batches)
+		for next := from; ; {
+			s.mu.Lock()
+			wake, cut, down, skip := s.wake, s.cut, s.down, s.skip
+			batch := store.WatchBatch{Revision: s.revision}
+			for _, e := range s.log {
+				// One earlier revision is repeated, which the port allows.
+				if e.ModRevision >= next-1 && strings.HasPrefix(e.Key, prefix) && (skip == nil || !skip(e)) {
+					batch.Events = append(batch.Events, e)
+				}
+			}
+			s.mu.Unlock()
+			if down {
+				w.err = &store.Error{Kind: store.KindUnavailable}
+				return
+			}
+			if batch.Revision >= next {
+				select {
+				case w.batches <- batch:
+				case <-ctx.Done():
+					return
+				}
+				next = batch.Revision + 1
+			}
+			select {
+			case <-wake:
+			case <-cut:
+				w.err = &store.Error{Kind: store.KindCompacted}
+				return
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return w
+}
+
+// fakeBus is one host's bus; fakeHost copies topics between buses.
+type fakeBus struct {
+	mu      sync.Mutex
+	topics  map[string]peersync.Topic
+	changed chan struct{}
+	// mute drops what is published, as if the host were lost at that moment.
+	mute bool
+}
+
+func (b *fakeBus) setMute() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.mute = true
+}
+
+func (b *fakeBus) Publish(t peersync.Topic) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if held, ok := b.topics[t.Name]; b.mute || ok && !t.Version.Newer(held.Version) {
+		return false
+	}
+	b.topics[t.Name] = t
+	close(b.changed)
+	b.changed = make(chan struct{})
+	return true
+}
+
+func (b *fakeBus) Get(name string) (peersync.Topic, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t, ok := b.topics[name]
+	return t, ok
+}
+
+func (b *fakeBus) List(prefix string) []peersync.Topic {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []peersync.Topic
+	for name, t := range b.topics {
+		if strings.HasPrefix(name, prefix) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func (b *fakeBus) Changed(string) <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+// fakeHost is a host with a writer and a follower. While it is cut off it
+// reaches neither the store nor any peer, as if partitioned or paused.
+type fakeHost struct {
+	name     string
+	store    *hostStore
+	bus      *fakeBus
+	writer   *Writer
+	follower *Follower
+	mu       sync.Mutex
+	heard    time.Time
+	cutOff   bool
+	watching bool
+}
+
+// hostStore is the store as one host sees it.
+type hostStore struct {
+	*fakeStore
+	host *fakeHost
+}
+
+func (s *hostStore) refused() error {
+	if s.host.isCutOff() {
+		time.Sleep(time.Millisecond)
+		return &store.Error{Kind: store.KindUnavailable}
+	}
+	return nil
+}
+
+func (s *hostStore) Get(ctx context.Context, key string) (store.KeyValue, bool, int64, error) {
+	if err := s.refused(); err != nil {
+		return store.KeyValue{}, false, 0, err
+	}
+	return s.fakeStore.Get(ctx, key)
+}
+
+func (s *hostStore) Range(ctx context.Context, prefix string) ([]store.KeyValue, int64, error) {
+	if err := s.refused(); err != nil {
+		return nil, 0, err
+	}
+	return s.fakeStore.Range(ctx, prefix)
+}
+
+func (s *hostStore) Watch(ctx context.Context, prefix string, from int64) store.Watch {
+	inner := s.fakeStore.Watch(ctx, prefix, from)
+	outer := &fakeWatch{batches: make(chan store.WatchBatch)}
+	go func() {
+		defer close(outer.batches)
+		for batch := range inner.Batches() {
+			for s.host.isCutOff() && ctx.Err() == nil {
+				time.Sleep(20 * time.Millisecond)
+			}
+			select {
+			case outer.batches <- batch:
+			case <-ctx.Done():
+				return
+			}
+		}
+		outer.err = inner.Err()
+	}()
+	return outer
+}
+
+func (h *fakeHost) isCutOff() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cutOff
+}
+
+func (h *fakeHost) setCutOff(v bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cutOff = v
+}
+
+func (h *fakeHost) peerHeard() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.heard
+}
+
+// pull copies newer topics from three peers in turn every 100 ms.
+func (h *fakeHost) pull(ctx context.Context, peers []*fakeHost) {
+	for turn := 0; ctx.Err() == nil; turn++ {
+		if !h.isCutOff() {
+			for i := range 3 {
+				peer := peers[(3*turn+i)%len(peers)]
+				if peer == h || peer.isCutOff() {
+					continue
+				}
+				sent := time.Now()
+				for _, t := range peer.bus.List("") {
+					h.bus.Publish(t)
+				}
+				h.mu.Lock()
+				h.heard = sent
+				h.mu.Unlock()
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// startCluster starts n hosts of which the first two watch the store.
+func startCluster(ctx context.Context, s *fakeStore, n int) []*fakeHost {
+	hosts := make([]*fakeHost, n)
+	for i := range hosts {
+		hosts[i] = newFakeHost(s, fmt.Sprintf("host-%02d", i), i < 2)
+	}
+	for _, h := range hosts {
+		h.start(ctx, hosts)
+	}
+	return hosts
+}
+
+func newFakeHost(s *fakeStore, name string, watching bool) *fakeHost {
+	h := &fakeHost{name: name, watching: watching, bus: &fakeBus{topics: map[string]peersync.Topic{}, changed: make(chan struct{})}}
+	h.store = &hostStore{fakeStore: s, host: h}
+	h.follower = NewFollower(FollowerConfig{
+		Host: topology.HostName(name), Store: h.store, Bus: h.bus, Inventory: testInventory(),
+		Watching: func() bool { return h.watching }, PeerHeard: h.peerHeard, Log: zap.NewNop(),
+	})
+	h.writer = NewWriter(h.store, testInventory(), h.follower.Install, zap.NewNop())
+	return h
+}
+
+func (h *fakeHost) start(ctx context.Context, peers []*fakeHost) {
+	go func() { _ = h.writer.Run(ctx) }()
+	go func() { _ = h.follower.Run(ctx) }()
+	go h.pull(ctx, peers)
+}
+
+func testInventory() declaration.Inventory {
+	service := declaration.Service{Name: "inventario", Partitioned: true}
+	for i := range 15 {
+		service.Servers = append(service.Servers, topology.Server{Name: topology.ServerName(fmt.Sprintf("inv-%02d", i))})
+	}
+	return declaration.Inventory{Services: []declaration.Service{service}}
+}
--- a/internal/configsync/follower.go
+++ b/internal/configsync/follower.go
@@ -204,17 +204,10 @@
 	if p.Revision <= current.Revision {
 		return
 	}
-	next, complete := p.advance(current)
-	if !complete {
-		if topic, ok := f.config.Bus.Get(SnapshotTopic); ok && topic.Version.Sequence > current.Revision {
-			if base, err := decodeSnapshot(topic.Payload); err != nil {
-				f.log.Error("configsync: peers sent an unreadable snapshot", zap.Error(err))
-			} else if base.Revision >= p.Revision {
-				next, complete = base, true
-			} else {
-				next, complete = p.advance(base)
-			}
-		}
+	topic, _ := f.config.Bus.Get(SnapshotTopic)
+	next, complete, err := p.catchUp(current, topic.Payload)
+	if err != nil {
+		f.log.Error("configsync: peers sent an unreadable snapshot", zap.Error(err))
 	}
 	if !complete {
 		f.markBehind(p.Revision)
--- a/internal/configsync/payload.go
+++ b/internal/configsync/payload.go
@@ -47,9 +47,10 @@
 	Deltas []delta `json:"deltas"`
 }
 
-// delta is the difference between two revisions. It can be applied to any
-// state from From to To, because it holds the final content of every document
-// that changed in between.
+// delta is the difference between two revisions. It holds the final content of
+// every document that changed in between, so it can also be applied to a state
+// after From, unless that state has a document that was created after From and
+// deleted before To; the digest then differs.
 type delta struct {
 	From   uint64                  `json:"from"`
 	To     uint64                  `json:"to"`
@@ -99,6 +100,26 @@
 	return next, next.Revision == p.Revision && next.Digest == p.Digest
 }
 
+// catchUp returns the payload's state, reached from the current state or else
+// from a snapshot, and whether either was possible.
+func (p payload) catchUp(current State, snapshotData []byte) (State, bool, error) {
+	if next, complete := p.advance(current); complete {
+		return next, true, nil
+	}
+	if len(snapshotData) == 0 {
+		return State{}, false, nil
+	}
+	base, err := decodeSnapshot(snapshotData)
+	if err != nil {
+		return State{}, false, err
+	}
+	if base.Revision > p.Revision {
+		return base, true, nil
+	}
+	next, complete := p.advance(base)
+	return next, complete, nil
+}
+
 // replace sets or, with nil, removes a document.
 func (s *State) replace(key declaration.Key, d *declaration.Document) {
 	if old := s.Documents[key]; old != nil {
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -48,10 +48,13 @@
 				return watch.Err()
 			}
 			f.heardStore(time.Now())
+			before := session.current.Revision
 			if err := session.apply(batch); err != nil {
 				return err
 			}
-			f.install(session.state(), true)
+			if session.current.Revision > before {
+				f.install(session.state(), true)
+			}
 		case <-check.C:
 			if !f.config.Watching() {
 				return nil
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -52,20 +53,14 @@
 	}
 	service := v.set.services[d.Spec.Service]
 	if service == nil {
-		var names []string
-		for name := range v.set.services {
-			names = append(names, string(name))
-		}
+		names := sortedNames(v.set.services)
 		v.add(false, d, "spec.service", "no service %q%s", d.Spec.Service, suggestion(string(d.Spec.Service), names))
 		return
 	}
 	switch d.Kind {
 	case KindServerLabels:
 		if _, ok := service.index[d.Spec.Server]; !ok {
-			var names []string
-			for name := range service.index {
-				names = append(names, string(name))
-			}
+			names := sortedNames(service.index)
 			v.add(false, d, "spec.server", "service %s has no server %q%s", d.Spec.Service, d.Spec.Server, suggestion(string(d.Spec.Server), names))
 		}
 	case KindKeyLabels, KindOwnershipRule:
@@ -80,6 +75,15 @@
 	v.doubleLabels(d, service)
 }
 
+func sortedNames[K ~string, V any](m map[K]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, string(name))
+	}
+	slices.Sort(names)
+	return names
+}
+
 // doubleLabels reports a second document that gives the same label to the same
 // server, key, prefix or pattern another value: which one wins would depend on
 // the documents' names.
@@ -149,10 +153,7 @@
 }
 
 func unknownLabels(s Selector, known map[string]bool) string {
-	var names []string
-	for name := range known {
-		names = append(names, name)
-	}
+	names := sortedNames(known)
 	var hints []string
 	for _, label := range s.Labels() {
 		if !known[label] {
