--- a/internal/leadership/maintain.go
+++ b/internal/leadership/maintain.go
@@ -26,6 +26,8 @@
 	replaceAfter = 30 * time.Second
 	// replaceInterval paces the changes of the record.
 	replaceInterval = time.Second
+	// maxAdditions bounds how many hosts are asked in one step.
+	maxAdditions = 4
 )
 
 // maintain learns the witness record, creates it in a new deployment, and as
@@ -170,12 +172,7 @@
 	if err != nil {
 		return
 	}
-	now := time.Now()
-	e.mu.Lock()
-	next, ok := nextRecord(record, hosts, func(h topology.HostName) bool {
-		return record.Names(h) && h != e.self && e.candidate.gone(now, e.ledSince, h, replaceAfter)
-	}, "")
-	e.mu.Unlock()
+	next, ok := e.chooseNext(ctx, record, hosts)
 	if !ok || !e.seal(ctx, record, record.Previous) {
 		return
 	}
@@ -194,6 +191,32 @@
 	e.seal(ctx, next, slices.Concat(next.Hosts, next.Previous))
 }
 
+// chooseNext returns the next record. A host is added only if it answers: the
+// list of hosts lags, and the host just removed may still be on it.
+func (e *Elector) chooseNext(ctx context.Context, record Record, hosts []topology.Host) (Record, bool) {
+	silent := make(map[topology.HostName]bool)
+	for range maxAdditions {
+		now := time.Now()
+		e.mu.Lock()
+		next, ok := nextRecord(record, hosts, func(h topology.HostName) bool {
+			return silent[h] || record.Names(h) && h != e.self && e.candidate.gone(now, e.ledSince, h, replaceAfter)
+		})
+		e.mu.Unlock()
+		if !ok || len(next.Hosts) < len(record.Hosts) {
+			return next, ok
+		}
+		added := next.Hosts[len(next.Hosts)-1]
+		asking, cancel := context.WithTimeout(ctx, callTimeout/2)
+		_, err := e.transport.Promise(asking, added, &peerpb.PromiseRequest{Candidate: string(e.self)})
+		cancel()
+		if err == nil {
+			return next, true
+		}
+		silent[added] = true
+	}
+	return Record{}, false
+}
+
 // seal sends record to hosts and reports whether a majority of the previous
 // witnesses confirmed within PromiseTTL that they refuse older records. The
 // confirmations must lie that close together: a witness that restarts in
--- a/internal/leadership/record.go
+++ b/internal/leadership/record.go
@@ -98,8 +98,8 @@
 
 // nextRecord returns the record that removes a gone witness or adds a missing
 // one; ok is false if the current record is as it should be.
-func nextRecord(current Record, hosts []topology.Host, gone func(topology.HostName) bool, id string) (Record, bool) {
-	next := Record{Version: current.Version + 1, Previous: current.Hosts, ID: id}
+func nextRecord(current Record, hosts []topology.Host, gone func(topology.HostName) bool) (Record, bool) {
+	next := Record{Version: current.Version + 1, Previous: current.Hosts}
 	name, spare := addWitness(hosts, current.Hosts, gone)
 	live := len(current.Hosts)
 	for _, h := range hosts {
