Let windows grow slowly and hold after a shed; pause a refusing server

Change: waiting requests count as demand for every server; growth is 5 % of the share per latency, and only 50 latencies after a cut; a server that sheds pauses for about one latency; a window per server may fall to the share.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -30,6 +30,14 @@
 	// decrease is applied at most once per latency: one burst of sheds is one
 	// signal.
 	decrease = 0.85
+	// step is the growth per latency relative to the share, and the decrease per
+	// latency relative to the limit. Growth by one per latency, as in TCP, is
+	// half of a window of two; growth relative to the limit itself would keep
+	// unequal hosts unequal.
+	step = 0.05
+	// holdFactor latencies after a cut pass before the limit grows above the
+	// share again: with twelve hosts growing at once a server sheds soon after.
+	holdFactor = 50
 	// growBelow and shrinkAbove are slowdowns (latency relative to the latency
 	// without queueing).
 	growBelow   = 1.8
@@ -39,7 +47,7 @@
 func newWindow(slots float64, hosts int, floor float64) window {
 	var w window
 	w.setShare(slots, hosts, floor)
-	w.limit = w.share
+	w.limit = max(w.share, 1)
 	return w
 }
 
@@ -75,26 +83,18 @@
 			w.limit = max(w.limit*decrease, minWindow)
 		}
 	case OutcomeOK:
-		step := 1 / max(w.limit, 1)
 		switch {
-		case w.limit > w.share && slowdown > shrinkAbove:
-			w.limit = max(w.limit-step, w.share)
-		case w.limit < w.share && w.demanded, w.demanded && slowdown < growBelow:
-			w.limit = min(w.limit+step*growthRate(w), w.ceiling)
+		case slowdown > shrinkAbove:
+			if w.limit > w.share {
+				w.limit = max(w.limit-step*min(w.limit, 1), w.share)
+			}
+		case w.limit < w.share, w.demanded && slowdown < growBelow && now-w.cutAt > holdFactor*latency:
+			w.limit = min(w.limit+step*w.share*min(1/w.limit, 1), w.ceiling)
 		}
 		w.demanded = false
 	}
 }
 
-// growthRate slows the growth below one request at a time, where each step is
-// a large relative change and follows a shed.
-func growthRate(w *window) float64 {
-	if w.limit < 1 {
-		return 0.05
-	}
-	return 1
-}
-
 // estimator tracks a latency: a moving mean, its deviation, and the latency
 // without queueing.
 type estimator struct {
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -121,7 +121,7 @@
 		s.window.setShare(s.slots(), s.view.Hosts, 1)
 	}
 	for i, srv := range s.servers {
-		srv.window.setShare(float64(s.view.Servers[i].Slots), s.view.Hosts, 1)
+		srv.window.setShare(float64(s.view.Servers[i].Slots), s.view.Hosts, 0)
 		s.sync(srv)
 	}
 }
@@ -282,6 +282,7 @@
 	for s.shared.size > 0 && s.windowFits() {
 		srv := s.choose(now)
 		if srv == nil {
+			s.demandServers()
 			break
 		}
 		if srv.pinned.size > 0 && !s.sharedFirst(srv) {
@@ -300,6 +301,14 @@
 	s.dispatchPinned(now, hint, false)
 }
 
+// demandServers lets the windows of all servers grow: a shared request waits
+// for any of them.
+func (s *scheduler) demandServers() {
+	for _, srv := range s.servers {
+		srv.window.demanded = true
+	}
+}
+
 func (s *scheduler) dispatchPinned(now time.Duration, hint *server, yield bool) {
 	if hint != nil {
 		s.drainPinned(now, hint, yield)
@@ -409,7 +418,13 @@
 	if shared && outcome != OutcomeFailed && !wasStalled {
 		s.window.onOutcome(now, outcome, s.slowdown, usual)
 	}
-	if pause := srv.window.pause(usual); pause > 0 {
+	pause := srv.window.pause(usual)
+	if signal == OutcomeShed {
+		// A refusal returns much faster than an answer; without a pause the
+		// refusing server would look free and get the next request at once.
+		pause += time.Duration(float64(usual) * (0.5 + s.random.Float64()))
+	}
+	if pause > 0 {
 		srv.notBefore = now + pause
 		srv.paused = true
 	}
--- a/internal/admission/servers.go
+++ b/internal/admission/servers.go
@@ -32,7 +32,7 @@
 		if srv == nil {
 			srv = &server{name: c.Name, coldSince: now, slowdown: 1}
 			v = balance.Server{Name: c.Name, State: balance.StateCold, Weight: balance.Ramp(0, s.config.Ramp)}
-			srv.window = newWindow(float64(slots), s.view.Hosts, 1)
+			srv.window = newWindow(float64(slots), s.view.Hosts, 0)
 		}
 		v.AvailabilityZone, v.Slots = c.AvailabilityZone, slots
 		srv.index = len(s.servers)
--- a/internal/balance/policy.go
+++ b/internal/balance/policy.go
@@ -54,7 +54,7 @@
 // own requests and their latency show.
 func estimatedLoad(view *View, s *Server) float64 {
 	load := float64(s.InFlight)
-	if s.HasReport && view.Now-s.ReportedAt < reportMaxAge {
+	if s.Fresh(view.Now) {
 		load = max(load, s.Reported)
 	}
 	return (max(load, observedLoad(view, s)) + 1) / s.weight()
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -57,6 +57,11 @@
 	return s.Usable() && !s.Blocked && (s.InFlight == 0 || float64(s.InFlight)+1 <= s.Limit)
 }
 
+// Fresh tells whether there is a report that is young enough to be used.
+func (s *Server) Fresh(now time.Duration) bool {
+	return s.HasReport && now-s.ReportedAt < reportMaxAge
+}
+
 func (s *Server) weight() float64 {
 	if s.Weight <= 0 {
 		return 1
