Use the reported load against growth of the windows

Cause: a host that has never seen a service without queueing takes the queue for the usual latency and grows, while a host that knows better stays small; bookings of the small hosts waited until their deadline. Change: the window does not grow while the reports show over 1.4 requests per slot, and returns to the share above 1.6. The own latency still counts alone when it is bad, so a false low report cannot keep a window open.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -42,6 +42,12 @@
 	// without queueing).
 	growBelow   = 1.8
 	shrinkAbove = 2.5
+	// growPressure and shrinkPressure are reported requests per slot. A host
+	// that has never seen the service without queueing takes the queueing for
+	// the usual latency; the reports keep it from growing then. When all hosts
+	// use their share the pressure is the overcommit, which is above both.
+	growPressure   = 1.4
+	shrinkPressure = 1.6
 )
 
 func newWindow(slots float64, hosts int, floor float64) window {
@@ -75,7 +81,7 @@
 	return time.Duration(float64(latency) * (1/w.limit - 1))
 }
 
-func (w *window) onOutcome(now time.Duration, outcome Outcome, slowdown float64, latency time.Duration) {
+func (w *window) onOutcome(now time.Duration, outcome Outcome, slowdown, pressure float64, latency time.Duration) {
 	switch outcome {
 	case OutcomeShed, OutcomeTimeout:
 		if now-w.cutAt >= latency || w.cutAt == 0 {
@@ -84,17 +90,23 @@
 		}
 	case OutcomeOK:
 		switch {
-		case slowdown > shrinkAbove:
+		case slowdown > shrinkAbove || pressure > shrinkPressure:
 			if w.limit > w.share {
 				w.limit = max(w.limit-step*min(w.limit, 1), w.share)
 			}
-		case w.limit < w.share, w.demanded && slowdown < growBelow && now-w.cutAt > holdFactor*latency:
+		case w.limit < w.share, w.mayGrow(now, slowdown, pressure, latency):
 			w.limit = min(w.limit+step*w.share*min(1/w.limit, 1), w.ceiling)
 		}
 		w.demanded = false
 	}
 }
 
+// mayGrow tells whether the limit may grow above the share: there is demand,
+// and neither sheds, nor the own latency, nor the reports speak against it.
+func (w *window) mayGrow(now time.Duration, slowdown, pressure float64, latency time.Duration) bool {
+	return w.demanded && slowdown < growBelow && pressure < growPressure && now-w.cutAt > holdFactor*latency
+}
+
 // estimator tracks a latency: a moving mean, its deviation, and the latency
 // without queueing.
 type estimator struct {
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -79,6 +79,7 @@
 	shedShare float64
 	refusedAt time.Duration
 	refusals  int
+	pressure  float64 // reported requests per slot over all servers
 	checkAt   time.Duration // next check for stalls, pauses, ramps and ejections
 }
 
@@ -414,9 +415,9 @@
 	if outcome == OutcomeFailed {
 		signal = OutcomeShed // a server that fails at once must not attract load either
 	}
-	srv.window.onOutcome(now, signal, srv.slowdown, usual)
+	srv.window.onOutcome(now, signal, srv.slowdown, s.serverPressure(now, srv), usual)
 	if shared && outcome != OutcomeFailed && !wasStalled {
-		s.window.onOutcome(now, outcome, s.slowdown, usual)
+		s.window.onOutcome(now, outcome, s.slowdown, s.pressure, usual)
 	}
 	pause := srv.window.pause(usual)
 	if signal == OutcomeShed {
--- a/internal/admission/servers.go
+++ b/internal/admission/servers.go
@@ -151,8 +151,13 @@
 	}
 	s.checkAt = now + checkInterval
 	balance.Eject(s.view.Servers, s.outliers, now)
+	pressure, reports := 0.0, 0
 	for i, srv := range s.servers {
 		v := &s.view.Servers[i]
+		if v.Fresh(now) {
+			pressure += s.serverPressure(now, srv)
+			reports++
+		}
 		if srv.paused && now >= srv.notBefore {
 			srv.paused = false
 		}
@@ -172,6 +177,17 @@
 		}
 		s.sync(srv)
 	}
+	s.pressure = pressure / float64(max(reports, 1))
+}
+
+// serverPressure is the reported number of requests per slot, or 0 without a
+// fresh report.
+func (s *scheduler) serverPressure(now time.Duration, srv *server) float64 {
+	if srv.index < 0 || !s.view.Servers[srv.index].Fresh(now) {
+		return 0
+	}
+	v := &s.view.Servers[srv.index]
+	return v.Reported / float64(v.Slots)
 }
 
 func (s *scheduler) pauseOver(now time.Duration) bool {
