Deal places to the hosts; pace a server's window for pinned requests only

Cause: at 12 hosts the hosts' requests meet at random: with 28 requests for 16 slots about a tenth of the slots idles. Change: requests that any server may run are limited by the service's window and at most the share plus one per server; the leased policy deals two places per slot by rank, prefers own places, ranks by own in-flight requests and latency, and is the default; reports lose weight with their age.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -67,7 +67,7 @@
 		c.Ramp = 2 * time.Second
 	}
 	if c.Policy == nil {
-		c.Policy = balance.LeastInFlight{}
+		c.Policy = balance.Leased{}
 	}
 	return c
 }
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -84,7 +84,8 @@
 	return time.Duration(float64(latency) * (1/w.limit - 1))
 }
 
-func (w *window) onOutcome(now time.Duration, outcome Outcome, slowdown, pressure float64, latency time.Duration) {
+// onOutcome adapts the limit; base is where it returns to under pressure.
+func (w *window) onOutcome(now time.Duration, base float64, outcome Outcome, slowdown, pressure float64, latency time.Duration) {
 	switch outcome {
 	case OutcomeShed, OutcomeTimeout:
 		if now-w.cutAt >= latency || w.cutAt == 0 {
@@ -94,10 +95,12 @@
 	case OutcomeOK:
 		switch {
 		case slowdown > shrinkAbove || pressure > shrinkPressure:
-			if w.limit > w.share {
-				w.limit = max(w.limit-step*min(w.limit, 1), w.share)
+			if w.limit > base {
+				w.limit = max(w.limit-step*min(w.limit, 1), base)
+			} else {
+				w.limit = min(w.limit+step*w.share*min(1/w.limit, 1), base)
 			}
-		case w.limit < w.share, w.mayGrow(now, slowdown, pressure, latency):
+		case w.limit < base, w.mayGrow(now, slowdown, pressure, latency):
 			w.limit = min(w.limit+step*w.share*min(1/w.limit, 1), w.ceiling)
 		}
 		w.demanded = false
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -79,7 +79,7 @@
 	shedShare float64
 	refusedAt time.Duration
 	refusals  int
-	pressure  float64 // reported requests per slot over all servers
+	pressure  float64       // reported requests per slot over all servers
 	checkAt   time.Duration // next check for stalls, pauses, ramps and ejections
 }
 
@@ -249,7 +249,7 @@
 func (s *scheduler) windowFits() bool { return s.window.fits(s.inFlight - s.stuck) }
 
 func (s *scheduler) choose(now time.Duration) *server {
-	s.view.Now = now
+	s.view.Now, s.view.Usual = now, time.Duration(s.overall.mean)
 	if i := s.policy.Choose(&s.view, s.random); i >= 0 {
 		return s.servers[i]
 	}
@@ -416,9 +416,15 @@
 	if outcome == OutcomeFailed {
 		signal = OutcomeShed // a server that fails at once must not attract load either
 	}
-	srv.window.onOutcome(now, signal, srv.slowdown, s.serverPressure(now, srv), usual)
+	base := srv.window.share
+	if shared {
+		// The service's window already limits these to the share of all servers;
+		// one server may get one request more than its part of them.
+		base++
+	}
+	srv.window.onOutcome(now, base, signal, srv.slowdown, s.serverPressure(now, srv), usual)
 	if shared && outcome != OutcomeFailed && !wasStalled {
-		s.window.onOutcome(now, outcome, s.slowdown, s.pressure, usual)
+		s.window.onOutcome(now, s.window.share, outcome, s.slowdown, s.pressure, usual)
 	}
 	pause := srv.window.pause(usual)
 	if signal == OutcomeShed {
--- a/internal/balance/policy.go
+++ b/internal/balance/policy.go
@@ -10,7 +10,7 @@
 
 // Choose implements Policy.
 func (Random) Choose(view *View, random *rand.Rand) int {
-	return pickLowest(view, random, func(*View, *Server) float64 { return 0 })
+	return pickLowest(view, random, func(*View, int) float64 { return 0 })
 }
 
 // RoundRobin takes the free servers in turn. It is a baseline for comparison.
@@ -36,7 +36,8 @@
 	return pickLowest(view, random, ownLoad)
 }
 
-func ownLoad(_ *View, s *Server) float64 {
+func ownLoad(view *View, i int) float64 {
+	s := &view.Servers[i]
 	return (float64(s.InFlight) + 1) / s.weight()
 }
 
@@ -49,15 +50,18 @@
 // counts, so that a server that was slow once is tried again.
 const observationMaxAge = 2 * time.Second
 
-// estimatedLoad combines the reported load with the own observation. The own
-// observation outranks the report: a low report never lowers the load that the
-// own requests and their latency show.
-func estimatedLoad(view *View, s *Server) float64 {
-	load := float64(s.InFlight)
-	if s.Fresh(view.Now) {
-		load = max(load, s.Reported)
+// estimatedLoad combines the reported load with the own observation. A report
+// counts the less the more requests may have come and gone since. The own
+// observation outranks it: a low report never lowers the load that the own
+// requests and their latency show.
+func estimatedLoad(view *View, i int) float64 {
+	s := &view.Servers[i]
+	load := float64(s.InFlight) + observedLoad(view, s)
+	if s.Fresh(view.Now) && s.Reported > load {
+		trust := 1 / (1 + float64(view.Now-s.ReportedAt)/float64(max(view.Usual, time.Millisecond)))
+		load += trust * (s.Reported - load)
 	}
-	return (max(load, observedLoad(view, s)) + 1) / s.weight()
+	return (load + 1) / s.weight()
 }
 
 // observedLoad is the number of requests that the own latency implies: at a
@@ -85,7 +89,7 @@
 	if second < 0 {
 		return first
 	}
-	if estimatedLoad(view, &view.Servers[second]) < estimatedLoad(view, &view.Servers[first]) {
+	if estimatedLoad(view, second) < estimatedLoad(view, first) {
 		return second
 	}
 	return first
@@ -123,54 +127,48 @@
 	return pickLowest(view, random, probeScore)
 }
 
-func probeScore(view *View, s *Server) float64 {
+func probeScore(view *View, i int) float64 {
+	s := &view.Servers[i]
 	return (float64(s.InFlight) + 1 + observedLoad(view, s)) / s.weight()
 }
 
-// Leased divides the slots of all servers among the live hosts by rank. A host
-// uses its own slots first and borrows others when they are taken, by the
-// estimated load.
+// Leased divides the places at all servers among the live hosts by rank. A
+// host uses its own places first and borrows others when they are taken, by
+// its own in-flight requests and latency. Hosts that all keep to their places
+// spread evenly without telling each other.
 type Leased struct{}
 
 // Choose implements Policy.
 func (Leased) Choose(view *View, random *rand.Rand) int {
-	return pickLowest(view, random, leasedScore(view))
+	return pickLowest(view, random, leasedScore)
 }
 
-// borrowPenalty ranks a borrowed slot behind a leased one unless the leased
-// server is visibly slower.
-const borrowPenalty = 1.5
+const (
+	// placesPerSlot counts one running and one queued request.
+	placesPerSlot = 2
+	// borrowPenalty ranks a borrowed place behind a leased one unless the leased
+	// server is visibly slower.
+	borrowPenalty = 2
+)
 
-func leasedScore(view *View) func(*View, *Server) float64 {
-	n := len(view.Servers)
-	return func(view *View, s *Server) float64 {
-		score := estimatedLoad(view, s)
-		if s.InFlight < leasedSlots(view, s, n) {
-			return score
-		}
-		return score + borrowPenalty/s.weight()
+func leasedScore(view *View, i int) float64 {
+	s := &view.Servers[i]
+	score := probeScore(view, i)
+	if s.InFlight >= leasedPlaces(view, i) {
+		score += borrowPenalty / s.weight()
 	}
+	return score
 }
 
-// leasedSlots counts the slots of s that belong to this host. Slot k of server
-// i is number k*n+i; the numbers are dealt to the hosts in turn.
-func leasedSlots(view *View, s *Server, n int) int {
-	hosts := max(view.Hosts, 1)
-	index := indexOf(view, s)
+// leasedPlaces counts the places at server i that belong to this host. Place k
+// of server i has the number k*n+i; the numbers are dealt to the hosts in turn.
+func leasedPlaces(view *View, i int) int {
+	n, hosts := len(view.Servers), max(view.Hosts, 1)
 	count := 0
-	for k := range max(s.Slots, 1) {
-		if (k*n+index)%hosts == view.Host%hosts {
+	for k := range max(view.Servers[i].Slots, 1) * placesPerSlot {
+		if (k*n+i)%hosts == view.Host%hosts {
 			count++
 		}
 	}
 	return count
 }
-
-func indexOf(view *View, s *Server) int {
-	for i := range view.Servers {
-		if &view.Servers[i] == s {
-			return i
-		}
-	}
-	return 0
-}
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -75,6 +75,8 @@
 	Now     time.Duration
 	// Host is this host's rank among the live hosts, Hosts their number.
 	Host, Hosts int
+	// Usual is the usual latency of a request, 0 if unknown.
+	Usual time.Duration
 	// AvailabilityZone is this host's own.
 	AvailabilityZone topology.AvailabilityZone
 }
@@ -87,14 +89,14 @@
 
 // pickLowest returns the free server with the lowest score; equal scores are
 // decided at random, so that hosts with equal views do not herd.
-func pickLowest(view *View, random *rand.Rand, score func(*View, *Server) float64) int {
+func pickLowest(view *View, random *rand.Rand, score func(*View, int) float64) int {
 	best, ties, lowest := -1, 0, 0.0
 	for i := range view.Servers {
 		s := &view.Servers[i]
 		if !s.Free() {
 			continue
 		}
-		value := score(view, s)
+		value := score(view, i)
 		switch {
 		case best < 0 || value < lowest:
 			best, ties, lowest = i, 1, value
--- a/internal/balance/zone.go
+++ b/internal/balance/zone.go
@@ -17,8 +17,9 @@
 // availability zones, which is at most a few milliseconds.
 const zonePenalty = 0.75
 
-func zoneScore(view *View, s *Server) float64 {
-	score := probeScore(view, s)
+func zoneScore(view *View, i int) float64 {
+	s := &view.Servers[i]
+	score := probeScore(view, i)
 	if s.AvailabilityZone != view.AvailabilityZone {
 		score += zonePenalty * float64(max(s.Slots, 1)) / s.weight()
 	}
