Wire quarantine, idempotency keys, serving rules and health reports

Two hosts poll each upstream's load endpoint, chosen by rendezvous hashing, and publish what it says, so that polls do not grow with the hosts.

--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -13,6 +13,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/admission"
 	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/idempotency"
 	"github.com/cassiasill/cassiasill/internal/kernel"
 	"github.com/cassiasill/cassiasill/internal/proxy"
 	"github.com/cassiasill/cassiasill/internal/settings"
@@ -42,12 +43,26 @@
 	c := &callersService{host: h}
 	c.admission = admission.New(admissionServices(h.settings), h.options.Seed)
 	c.handler = proxy.New(proxy.Options{
-		Services: proxyServices(h.settings), Resolver: countingResolver{h.routes.table, h.loads}, Admitter: c.admission,
-		Limits: proxyLimits(h.settings.Limits), Logger: h.log, Dial: h.options.Network.Dial,
+		Services: proxyServices(h.settings), Resolver: countingResolver{h.routes.table, h.loads},
+		Admitter:    eligibleAdmitter{c.admission, h.declare.follower, serverNames(h.settings)},
+		Quarantine:  h.suspicions.table,
+		Idempotency: idempotency.NewClient(h.keeper, h.keeper.liveHosts),
+		Limits:      proxyLimits(h.settings.Limits), Logger: h.log, Dial: h.options.Network.Dial,
 	})
 	return c
 }
 
+// serverNames lists the servers of each service.
+func serverNames(s *settings.Settings) map[topology.ServiceName][]topology.ServerName {
+	out := make(map[topology.ServiceName][]topology.ServerName)
+	for _, service := range s.Services {
+		for _, server := range service.Servers {
+			out[service.Name] = append(out[service.Name], server.Name)
+		}
+	}
+	return out
+}
+
 func admissionServices(s *settings.Settings) []admission.ServiceConfig {
 	var out []admission.ServiceConfig
 	for _, service := range s.Services {
@@ -145,10 +160,7 @@
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
 	for {
-		names := []topology.HostName{c.host.settings.Host.Name}
-		for _, h := range c.host.topics.replicator.Live() {
-			names = append(names, h.Name)
-		}
+		names := c.host.keeper.liveHosts()
 		slices.Sort(names)
 		c.admission.SetHosts(slices.Index(names, c.host.settings.Host.Name), len(names))
 		select {
--- /dev/null
+++ b/internal/host/eligible.go
@@ -0,0 +1,42 @@
+package host
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cassiasill/cassiasill/internal/admission"
+	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/configsync"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// eligibleAdmitter keeps requests from upstreams that the serving rules do not
+// allow for their caller. A request that is pinned to the owner of its key is
+// passed on: ownership rules decide about owners.
+type eligibleAdmitter struct {
+	admission.Admitter
+	follower *configsync.Follower
+	servers  map[topology.ServiceName][]topology.ServerName
+}
+
+// Admit excludes the upstreams that may not serve the caller.
+func (a eligibleAdmitter) Admit(ctx context.Context, request admission.Request, exclude []topology.ServerName) (admission.Ticket, error) {
+	if request.Server != "" {
+		return a.Admitter.Admit(ctx, request, exclude)
+	}
+	all := a.servers[request.Service]
+	allowed := a.follower.Current().MayServe(request.Service, request.Caller)
+	if len(allowed) == len(all) {
+		return a.Admitter.Admit(ctx, request, exclude)
+	}
+	if len(allowed) == 0 {
+		return nil, apierror.New(apierror.KindNoUpstream, "no upstream of %s may serve this caller", request.Service)
+	}
+	exclude = slices.Clone(exclude)
+	for _, server := range all {
+		if !slices.Contains(allowed, server) {
+			exclude = append(exclude, server)
+		}
+	}
+	return a.Admitter.Admit(ctx, request, exclude)
+}
--- /dev/null
+++ b/internal/host/health.go
@@ -0,0 +1,215 @@
+package host
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/admission"
+	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/peersync"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+const (
+	serviceHealth     = "health"
+	healthTopicPrefix = "health/"
+	// healthInterval leaves two polls and the replication within the 3 s after
+	// which a leaving upstream must get no new work.
+	healthInterval = 700 * time.Millisecond
+	healthTimeout  = 500 * time.Millisecond
+	// healthMaxAge is how long a peer's report counts.
+	healthMaxAge = 5 * time.Second
+	// pollersPerServer bounds the polls of one server, however many hosts
+	// there are. Two survive the loss of a host.
+	pollersPerServer = 2
+	// healthConcurrency bounds the polls in flight.
+	healthConcurrency = 32
+)
+
+// serverHealth is what an upstream's load endpoint says.
+type serverHealth struct {
+	Running int  `json:"running"`
+	Queued  int  `json:"queued"`
+	Leaving bool `json:"leaving"`
+}
+
+// healthReport is one host's reports on the servers that it polls.
+type healthReport map[topology.ServiceName]map[topology.ServerName]serverHealth
+
+// healthService polls the load endpoints of a share of the servers, publishes
+// what they say and applies what all hosts publish. The endpoints lag and
+// mislead: they only mark servers as leaving and feed the load policy, which
+// trusts its own observation more.
+type healthService struct {
+	host   *Host
+	client *http.Client
+}
+
+func newHealthService(h *Host) *healthService {
+	return &healthService{host: h, client: &http.Client{Transport: h.transport(), Timeout: healthTimeout}}
+}
+
+func (s *healthService) Name() string       { return serviceHealth }
+func (s *healthService) Requires() []string { return []string{serviceTopics, serviceDeclarations} }
+
+// Start polls and applies.
+func (s *healthService) Start(_ context.Context, registry *kernel.Registry) error {
+	registry.Go(s.Name(), s.poll)
+	registry.Go(s.Name(), s.apply)
+	return nil
+}
+
+// Stop has nothing to finish.
+func (s *healthService) Stop(context.Context) error { return nil }
+
+func (s *healthService) poll(ctx context.Context) error {
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	name := s.host.settings.Host.Name
+	for {
+		report := s.round(ctx)
+		if payload, err := json.Marshal(report); err != nil {
+			s.host.log.Error("health: report not encoded", zap.Error(err))
+		} else if len(report) > 0 {
+			peersync.PublishOwn(s.host.topics.replicator, healthTopicPrefix+string(name), time.Now(), payload)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// round polls this host's share of the servers.
+func (s *healthService) round(ctx context.Context) healthReport {
+	hosts := s.host.keeper.liveHosts()
+	report := make(healthReport)
+	var mu sync.Mutex
+	workers := pool.New().WithMaxGoroutines(healthConcurrency)
+	for _, service := range s.host.settings.Services {
+		for _, server := range service.Servers {
+			if !slices.Contains(pollers(hosts, server.Name), s.host.settings.Host.Name) {
+				continue
+			}
+			workers.Go(func() {
+				health, err := s.ask(ctx, server)
+				if err != nil {
+					return // requests show better than a poll whether it serves
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if report[server.Service] == nil {
+					report[server.Service] = make(map[topology.ServerName]serverHealth)
+				}
+				report[server.Service][server.Name] = health
+			})
+		}
+	}
+	workers.Wait()
+	return report
+}
+
+// pollers returns the hosts that poll a server, by rendezvous hashing.
+func pollers(hosts []topology.HostName, server topology.ServerName) []topology.HostName {
+	ranked := slices.Clone(hosts)
+	score := func(h topology.HostName) uint64 {
+		return xxhash.Sum64String("health/" + string(server) + "/" + string(h))
+	}
+	slices.SortFunc(ranked, func(a, b topology.HostName) int { return cmp.Compare(score(b), score(a)) })
+	return ranked[:min(len(ranked), pollersPerServer)]
+}
+
+func (s *healthService) ask(ctx context.Context, server topology.Server) (serverHealth, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address+"/load", nil)
+	if err != nil {
+		return serverHealth{}, err
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return serverHealth{}, err
+	}
+	defer response.Body.Close()
+	var health serverHealth
+	err = json.NewDecoder(response.Body).Decode(&health)
+	return health, err
+}
+
+// apply takes over what the hosts publish and what the declarations say.
+func (s *healthService) apply(ctx context.Context) error {
+	seen := make(map[string]healthSeen)
+	for {
+		topics := s.host.topics.replicator.Changed(healthTopicPrefix)
+		declared := s.host.declare.follower.Changed()
+		s.applyOnce(seen)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-topics:
+		case <-declared:
+		}
+	}
+}
+
+// healthSeen notes when a host's newest report came.
+type healthSeen struct {
+	version topology.Version
+	at      time.Time
+}
+
+func (s *healthService) applyOnce(seen map[string]healthSeen) {
+	now := time.Now()
+	leaving := make(map[topology.ServerName]bool)
+	for _, topic := range s.host.topics.replicator.List(healthTopicPrefix) {
+		if seen[topic.Name].version != topic.Version {
+			seen[topic.Name] = healthSeen{topic.Version, now}
+		}
+		age := now.Sub(seen[topic.Name].at)
+		if age > healthMaxAge {
+			continue
+		}
+		var report healthReport
+		if err := json.Unmarshal(topic.Payload, &report); err != nil {
+			s.host.log.Error("health: a host's report not decoded",
+				zap.String("from", strings.TrimPrefix(topic.Name, healthTopicPrefix)), zap.Error(err))
+			continue
+		}
+		for service, servers := range report {
+			for name, health := range servers {
+				leaving[name] = leaving[name] || health.Leaving
+				s.host.callers.admission.Observe(service, admission.Report{
+					Server: name, InFlight: float64(health.Running + health.Queued), Age: age,
+				})
+			}
+		}
+	}
+	s.setStates(leaving)
+}
+
+// setStates marks leaving upstreams. Servers that own keys are not marked: they
+// serve their keys until these are moved, which ownership does at once.
+func (s *healthService) setStates(leaving map[topology.ServerName]bool) {
+	set := s.host.declare.follower.Current()
+	for _, service := range s.host.settings.Services {
+		if service.DividedByKey {
+			continue
+		}
+		for _, server := range service.Servers {
+			state := admission.ServerReady
+			if leaving[server.Name] || set.Drained(service.Name, server.Name) {
+				state = admission.ServerLeaving
+			}
+			s.host.callers.admission.SetState(service.Name, server.Name, state)
+		}
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -56,19 +56,22 @@
 
 // Host is one entry host.
 type Host struct {
-	options  Options
-	settings *settings.Settings
-	log      *zap.Logger
-	kernel   *kernel.Kernel
-	metrics  *telemetry.Metrics
-	topics   *topicsService
-	leader   *leadershipService
-	loads    *loadsService
-	owner    *ownershipService
-	declare  *declarationsService
-	routes   *routesService
-	callers  *callersService
-	admin    *adminService
+	options    Options
+	settings   *settings.Settings
+	log        *zap.Logger
+	kernel     *kernel.Kernel
+	metrics    *telemetry.Metrics
+	topics     *topicsService
+	leader     *leadershipService
+	loads      *loadsService
+	owner      *ownershipService
+	declare    *declarationsService
+	routes     *routesService
+	keeper     *keeper
+	suspicions *suspicionsService
+	health     *healthService
+	callers    *callersService
+	admin      *adminService
 }
 
 // New assembles a host; Run starts it.
@@ -91,17 +94,21 @@
 	if options.Store == nil {
 		h.options.Store = gateway.New(&http.Client{Transport: h.transport()}, time.Duration(s.Store.Timeout), s.Store.Endpoints...)
 	}
+	h.keeper = newKeeper(h)
 	h.topics = newTopicsService(h)
 	h.leader = newLeadershipService(h)
 	h.loads = newLoadsService(h)
 	h.owner = newOwnershipService(h)
 	h.declare = newDeclarationsService(h)
 	h.routes = newRoutesService(h)
+	h.suspicions = newSuspicionsService(h)
+	h.health = newHealthService(h)
 	h.callers = newCallersService(h)
 	h.admin = newAdminService(h)
 	// The callers' service is last: it stops first, while the admin address
 	// still answers that the host is not ready.
-	h.kernel = kernel.New(h.log, stopTimeout, h.topics, h.leader, h.loads, h.owner, h.declare, h.routes, h.admin, h.callers)
+	h.kernel = kernel.New(h.log, stopTimeout, h.topics, h.leader, h.loads, h.owner, h.declare,
+		h.routes, h.suspicions, h.health, h.admin, h.callers)
 	return h, nil
 }
 
--- a/internal/host/topics.go
+++ b/internal/host/topics.go
@@ -11,7 +11,6 @@
 
 	"github.com/cassiasill/cassiasill/internal/kernel"
 	"github.com/cassiasill/cassiasill/internal/peer"
-	"github.com/cassiasill/cassiasill/internal/peer/peerpb"
 	"github.com/cassiasill/cassiasill/internal/peersync"
 	"github.com/cassiasill/cassiasill/internal/settings"
 	"github.com/cassiasill/cassiasill/internal/topology"
@@ -73,7 +72,7 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.Handle(peer.NewHandler(t.host.leader, t.replicator, noKeeper{}))
+	mux.Handle(peer.NewHandler(t.host.leader, t.replicator, keeperServer{t.host.keeper.table}))
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -97,10 +96,3 @@
 	}
 	return nil
 }
-
-// noKeeper refuses claims of idempotency keys.
-type noKeeper struct{}
-
-func (noKeeper) Reserve(context.Context, *peerpb.ReserveRequest) (*peerpb.ReserveResponse, error) {
-	return nil, errors.New("this host keeps no idempotency keys")
-}
