--- a/internal/admission/admitter.go
+++ b/internal/admission/admitter.go
@@ -19,6 +19,16 @@
 	classCount
 )
 
+var classNames = [classCount]string{"booking", "lookup", "download"}
+
+// String returns the class as the settings name it.
+func (c Class) String() string {
+	if c >= classCount {
+		return "unknown"
+	}
+	return classNames[c]
+}
+
 // Request is what admission needs to know of a request.
 type Request struct {
 	Service  topology.ServiceName
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -61,6 +61,7 @@
 	log        *zap.Logger
 	kernel     *kernel.Kernel
 	metrics    *telemetry.Metrics
+	requests   *requestMetrics
 	topics     *topicsService
 	leader     *leadershipService
 	loads      *loadsService
@@ -94,6 +95,9 @@
 	if options.Store == nil {
 		h.options.Store = gateway.New(&http.Client{Transport: h.transport()}, time.Duration(s.Store.Timeout), s.Store.Endpoints...)
 	}
+	if h.requests, err = newRequestMetrics(metrics.Meter("proxy")); err != nil {
+		return nil, err
+	}
 	h.keeper = newKeeper(h)
 	h.topics = newTopicsService(h)
 	h.leader = newLeadershipService(h)
@@ -105,6 +109,9 @@
 	h.health = newHealthService(h)
 	h.callers = newCallersService(h)
 	h.admin = newAdminService(h)
+	if err := h.registerState(metrics.Meter("host")); err != nil {
+		return nil, err
+	}
 	// The callers' service is last: it stops first, while the admin address
 	// still answers that the host is not ready.
 	h.kernel = kernel.New(h.log, stopTimeout, h.topics, h.leader, h.loads, h.owner, h.declare,
--- /dev/null
+++ b/internal/host/metrics.go
@@ -0,0 +1,128 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/cassiasill/cassiasill/internal/admission"
+	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/proxy"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// latencyBuckets are in seconds, around the goal of 10 ms for 99 in 100.
+var latencyBuckets = []float64{.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5}
+
+// requestMetrics implements proxy.Metrics.
+type requestMetrics struct {
+	requests metric.Int64Counter
+	attempts metric.Int64Counter
+	latency  metric.Float64Histogram
+	waiting  metric.Int64Gauge
+
+	// options holds the attributes of each combination seen; their number is
+	// bounded by services, servers, kinds and classes.
+	options sync.Map
+}
+
+var _ proxy.Metrics = (*requestMetrics)(nil)
+
+func newRequestMetrics(meter metric.Meter) (*requestMetrics, error) {
+	requests, err1 := meter.Int64Counter("cassiasill.requests", metric.WithDescription("Finished requests of callers"))
+	attempts, err2 := meter.Int64Counter("cassiasill.attempts", metric.WithDescription("Attempts to send a request to an upstream, by what the upstream can have seen"))
+	latency, err3 := meter.Float64Histogram("cassiasill.request.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from a request's arrival to its end"), metric.WithExplicitBucketBoundaries(latencyBuckets...))
+	waiting, err4 := meter.Int64Gauge("cassiasill.requests.waiting", metric.WithDescription("Requests that wait for an owner"))
+	return &requestMetrics{requests: requests, attempts: attempts, latency: latency, waiting: waiting},
+		errors.Join(err1, err2, err3, err4)
+}
+
+// attempted and finished are the keys of the cached attributes.
+type attempted struct {
+	service topology.ServiceName
+	server  topology.ServerName
+	seen    proxy.Seen
+}
+
+type finished struct {
+	service topology.ServiceName
+	class   admission.Class
+	kind    apierror.Kind
+}
+
+// cached returns the attributes for key, made once.
+func (m *requestMetrics) cached(key any, attributes func() []attribute.KeyValue) metric.MeasurementOption {
+	if option, ok := m.options.Load(key); ok {
+		return option.(metric.MeasurementOption)
+	}
+	option := metric.WithAttributeSet(attribute.NewSet(attributes()...))
+	m.options.Store(key, option)
+	return option
+}
+
+// Attempt counts one attempt.
+func (m *requestMetrics) Attempt(service topology.ServiceName, server topology.ServerName, seen proxy.Seen, _ time.Duration) {
+	m.attempts.Add(context.Background(), 1, m.cached(attempted{service, server, seen}, func() []attribute.KeyValue {
+		return []attribute.KeyValue{
+			attribute.String("service", string(service)), attribute.String("server", string(server)),
+			attribute.String("seen", seen.String()),
+		}
+	}))
+}
+
+// Request counts one finished request.
+func (m *requestMetrics) Request(service topology.ServiceName, class admission.Class, _ int, kind apierror.Kind, latency time.Duration) {
+	option := m.cached(finished{service, class, kind}, func() []attribute.KeyValue {
+		return []attribute.KeyValue{
+			attribute.String("service", string(service)), attribute.String("class", class.String()),
+			attribute.String("kind", string(kind)),
+		}
+	})
+	m.requests.Add(context.Background(), 1, option)
+	m.latency.Record(context.Background(), latency.Seconds(), option)
+}
+
+// Waiting notes how many requests wait for an owner.
+func (m *requestMetrics) Waiting(service topology.ServiceName, requests int64) {
+	m.waiting.Record(context.Background(), requests, m.cached(service, func() []attribute.KeyValue {
+		return []attribute.KeyValue{attribute.String("service", string(service))}
+	}))
+}
+
+// registerState observes what the services know when metrics are collected.
+func (h *Host) registerState(meter metric.Meter) error {
+	leading, err1 := meter.Int64ObservableGauge("cassiasill.leading", metric.WithDescription("1 while this host is the leader"))
+	ready, err2 := meter.Int64ObservableGauge("cassiasill.ready", metric.WithDescription("1 while this host should get requests"))
+	revision, err3 := meter.Int64ObservableGauge("cassiasill.declarations.revision", metric.WithDescription("Revision of the declarations in force"))
+	unheld, err4 := meter.Int64ObservableGauge("cassiasill.ranges.unheld", metric.WithDescription("Ranges without an owner, as the leader knows them"))
+	moving, err5 := meter.Int64ObservableGauge("cassiasill.moves", metric.WithDescription("Moves in progress, as the leader knows them"))
+	if err := errors.Join(err1, err2, err3, err4, err5); err != nil {
+		return err
+	}
+	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		_, _, leads := h.leader.elector.Authority(time.Now())
+		o.ObserveInt64(leading, boolToInt(leads))
+		ok, _ := h.Ready()
+		o.ObserveInt64(ready, boolToInt(ok))
+		o.ObserveInt64(revision, int64(h.declare.follower.Current().Revision()))
+		for _, s := range h.owner.controller.Status() {
+			service := metric.WithAttributes(attribute.String("service", string(s.Service)))
+			o.ObserveInt64(unheld, int64(len(s.Unheld)), service)
+			o.ObserveInt64(moving, int64(len(s.Moves)), service)
+		}
+		return nil
+	}, leading, ready, revision, unheld, moving)
+	return err
+}
+
+func boolToInt(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
