--- a/cassiasill.go
+++ b/cassiasill.go
@@ -17,6 +17,10 @@
 type Options struct {
 	// SettingsFile is the path of the YAML settings. Required.
 	SettingsFile string
+	// Host runs as another host of the settings' list, so that all hosts can
+	// share one file. CallersAddress and AdminAddress replace the addresses
+	// of the host section. Empty fields change nothing.
+	Host, CallersAddress, AdminAddress string
 	// Log replaces the logger that the settings describe, which writes to
 	// standard error.
 	Log *zap.Logger
@@ -37,6 +41,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.RunAs(options.Host, options.CallersAddress, options.AdminAddress); err != nil {
+		return nil, err
+	}
 	log := options.Log
 	if log == nil {
 		if log, err = telemetry.NewLogger(os.Stderr, string(s.Log.Level), telemetry.Format(s.Log.Format)); err != nil {
--- a/cmd/cassiasill/main.go
+++ b/cmd/cassiasill/main.go
@@ -60,12 +60,17 @@
 }
 
 type serveCommand struct {
-	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"Settings of this host"`
+	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"Settings file"`
+	Host     string `long:"host" value-name:"NAME" description:"Run as this host of the settings' list instead of the one in the host section"`
+	Callers  string `long:"callers" value-name:"ADDRESS" description:"Replaces host.addresses.callers"`
+	Admin    string `long:"admin" value-name:"ADDRESS" description:"Replaces host.addresses.admin"`
 }
 
 // Execute runs the host until a signal.
 func (c *serveCommand) Execute([]string) error {
-	router, err := cassiasill.New(cassiasill.Options{SettingsFile: c.Settings})
+	router, err := cassiasill.New(cassiasill.Options{
+		SettingsFile: c.Settings, Host: c.Host, CallersAddress: c.Callers, AdminAddress: c.Admin,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -142,3 +142,15 @@
 	_, err := Deployment("unknown")
 	assert.ErrorContains(t, err, `no deployment "unknown"`)
 }
+
+// Guards against a host that runs under another's name or an unchecked address.
+func TestRunAsTakesTheListedHostAndChecksTheFlags(t *testing.T) {
+	s, err := Deployment("aserrin")
+	assert.NilError(t, err)
+	assert.NilError(t, s.RunAs("host-2", "127.0.0.1:1", ""))
+	assert.Equal(t, s.Host.AvailabilityZone, topology.AvailabilityZone("rafaela"))
+	assert.Equal(t, s.Host.Addresses.Peer, "127.0.0.1:18381")
+	assert.Equal(t, s.Host.Addresses.Callers, "127.0.0.1:1")
+	assert.ErrorContains(t, s.RunAs("host-9", "", ""), `found host "host-9", expected one of hosts: [host-1 host-2 host-3]`)
+	assert.ErrorContains(t, s.RunAs("", "nowhere", ""), "host.addresses.callers")
+}
