--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -20,9 +20,9 @@
 
 // The constants of the window. They are compared in docs/load.md.
 const (
-	// overcommit keeps about one request queued at each server, so that a slot
-	// does not idle while the next request travels.
-	overcommit = 1.75
+	// overcommit keeps a little more than one request queued per slot, so that
+	// slots do not idle where the hosts' requests happen to be few.
+	overcommit = 2.25
 	// minWindow is the lowest limit; a limit below 1 is a pause between
 	// requests.
 	minWindow = 0.1
