Judge overload per class

Cause: under overload by lookups no booking was retried after a shed, so each shed lost a booking. The queue lets bookings pass; they are not overloaded. Change: Overloaded takes the class and looks at it and the more important ones.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -188,10 +188,11 @@
 	})
 }
 
-// Overloaded tells whether retries to the service would add to an overload.
-func (c *Controller) Overloaded(name topology.ServiceName) bool {
+// Overloaded tells whether retries of a class would add to an overload of the
+// service. Bookings may be retried while only lookups and downloads wait.
+func (c *Controller) Overloaded(name topology.ServiceName, class Class) bool {
 	over := false
-	c.update(name, func(core *scheduler, now time.Duration) { over = core.overloaded(now) })
+	c.update(name, func(core *scheduler, now time.Duration) { over = core.overloaded(now, min(class, classCount-1)) })
 	return over
 }
 
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -91,7 +91,9 @@
 func (s *Scheduler) Observe(now time.Duration, report Report) { s.core.observe(now, report) }
 
 // Overloaded tells whether retries would add to an overload.
-func (s *Scheduler) Overloaded(now time.Duration) bool { return s.core.overloaded(now) }
+func (s *Scheduler) Overloaded(now time.Duration, class Class) bool {
+	return s.core.overloaded(now, class)
+}
 
 func (s *Scheduler) flush() {
 	// A verdict may call back into the scheduler and resolve more waiters.
--- a/internal/admission/judge.go
+++ b/internal/admission/judge.go
@@ -91,9 +91,19 @@
 	return queue, class, f
 }
 
-// overloaded tells whether retries would add to an overload: requests wait for
-// longer than one usual latency, were refused within the last second, or a
-// tenth of them is shed or fails.
-func (s *scheduler) overloaded(now time.Duration) bool {
-	return s.shedShare > 0.1 || (s.refusals > 0 && now-s.refusedAt < time.Second) || float64(s.waiting) > s.window.limit
+// overloaded tells whether retries of a class would add to an overload: its
+// requests, or more important ones, wait for longer than one usual latency or
+// were refused within the last second, or a tenth of all is shed or fails.
+func (s *scheduler) overloaded(now time.Duration, class Class) bool {
+	if s.shedShare > 0.1 {
+		return true
+	}
+	waiting := 0
+	for c := Class(0); c <= class; c++ {
+		waiting += s.queued[c]
+		if now-s.refusedAt[c] < time.Second {
+			return true
+		}
+	}
+	return float64(waiting) > s.window.limit
 }
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -77,10 +77,10 @@
 	slowdown  float64
 	costs     map[topology.Caller]float64
 	shedShare float64
-	refusedAt time.Duration
-	refusals  int
-	pressure  float64       // reported requests per slot over all servers
-	checkAt   time.Duration // next check for stalls, pauses, ramps and ejections
+	refusedAt [classCount]time.Duration // last refusal per class, negative: none
+	queued    [classCount]int           // waiting requests per class
+	pressure  float64                   // reported requests per slot over all servers
+	checkAt   time.Duration             // next check for stalls, pauses, ramps and ejections
 }
 
 // checkInterval bounds the work of the periodic checks.
@@ -96,6 +96,9 @@
 		srv.coldSince = -s.config.Ramp
 		s.view.Servers[i].State, s.view.Servers[i].Weight = balance.StateReady, 1
 	}
+	for c := range s.refusedAt {
+		s.refusedAt[c] = -time.Hour
+	}
 	s.window = newWindow(s.slots(), 1, 1)
 	return s
 }
@@ -165,7 +168,7 @@
 	}
 	latest, kind := s.judge(now, r, target)
 	if kind != accepted {
-		s.refused(now)
+		s.refused(now, r.class)
 		return nil, nil, kind
 	}
 	if chosen := s.immediate(now, target, movable); chosen != nil {
@@ -173,7 +176,7 @@
 		return chosen, nil, accepted
 	}
 	if s.waiting >= s.config.MaxWaiting && !s.makeRoom(r) {
-		s.refused(now)
+		s.refused(now, r.class)
 		return nil, nil, refusedOverloaded
 	}
 	w := &waiter{
@@ -184,10 +187,7 @@
 	return nil, w, accepted
 }
 
-func (s *scheduler) refused(now time.Duration) {
-	s.refusals++
-	s.refusedAt = now
-}
+func (s *scheduler) refused(now time.Duration, class Class) { s.refusedAt[class] = now }
 
 func (s *scheduler) enqueue(w *waiter) {
 	if w.pinned != nil {
@@ -199,12 +199,14 @@
 	}
 	heap.Push(&s.expiries, w)
 	s.waiting++
+	s.queued[w.class]++
 }
 
 // dequeued takes w, which has left its classQueue, out of the other records.
 func (s *scheduler) dequeued(w *waiter) {
 	heap.Remove(&s.expiries, w.heapIndex)
 	s.waiting--
+	s.queued[w.class]--
 }
 
 func (s *scheduler) resolve(w *waiter, srv *server, kind refusal) {
@@ -488,7 +490,7 @@
 		if w.deadline {
 			kind = refusedDeadline
 		}
-		s.refused(now)
+		s.refused(now, w.class)
 		s.resolve(w, nil, kind)
 	}
 	s.check(now)
--- a/internal/bench/balance/run.go
+++ b/internal/bench/balance/run.go
@@ -300,7 +300,7 @@
 // retry sends a shed request elsewhere within the retry budget, as the request
 // path does.
 func (s *simulation) retry(h *simHost, r *simRequest, tried topology.ServerName) {
-	if h.budget < 1 || h.scheduler.Overloaded(s.clock.now) {
+	if h.budget < 1 || h.scheduler.Overloaded(s.clock.now, r.kind.class) {
 		s.fail(r, &s.count.refused)
 		return
 	}
