Wait before a cut window grows back to the share

Cause: where a server's queue is shorter than the share assumes, the window returned to the share after every cut, and the next shed followed. Change: 10 latencies, at most 500 ms, pass first.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -39,6 +39,10 @@
 	// holdFactor latencies after a cut pass before the limit grows above the
 	// share again: with twelve hosts growing at once a server sheds soon after.
 	holdFactor = 50
+	// recoveryFactor latencies, and at most maxRecovery, pass before the limit
+	// grows back to the share.
+	recoveryFactor = 10
+	maxRecovery    = 500 * time.Millisecond
 	// growBelow and shrinkAbove are slowdowns (latency relative to the latency
 	// without queueing).
 	growBelow   = 1.8
@@ -97,16 +101,21 @@
 		case slowdown > shrinkAbove || pressure > shrinkPressure:
 			if w.limit > base {
 				w.limit = max(w.limit-step*min(w.limit, 1), base)
-			} else {
+			} else if w.mayRecover(now, latency) {
 				w.limit = min(w.limit+step*w.share*min(1/w.limit, 1), base)
 			}
-		case w.limit < base, w.mayGrow(now, slowdown, pressure, latency):
+		case w.limit < base && w.mayRecover(now, latency), w.mayGrow(now, slowdown, pressure, latency):
 			w.limit = min(w.limit+step*w.share*min(1/w.limit, 1), w.ceiling)
 		}
 		w.demanded = false
 	}
 }
 
+// mayRecover tells whether the limit may grow back to the share.
+func (w *window) mayRecover(now, latency time.Duration) bool {
+	return now-w.cutAt > min(recoveryFactor*latency, maxRecovery)
+}
+
 // mayGrow tells whether the limit may grow above the share: there is demand,
 // and neither sheds, nor the own latency, nor the reports speak against it.
 func (w *window) mayGrow(now time.Duration, slowdown, pressure float64, latency time.Duration) bool {
