--- a/cmd/cassiasill-bench/placement.go
+++ b/cmd/cassiasill-bench/placement.go
@@ -57,22 +57,28 @@
 			"unavailable s/h", "key-seconds/h", "settle s", "slices", "score aserrin", "score adinkra",
 		},
 	}
-	results := pool.NewWithResults[row]().WithErrors().WithMaxGoroutines(max(c.Parallel, 1))
+	runs := pool.New().WithErrors().WithMaxGoroutines(max(c.Parallel, 1))
+	var rows []*row
 	for _, d := range deployments() {
 		for _, s := range simulation.Scenarios() {
 			for _, p := range simulation.Placers() {
 				if selected(c.Deployments, d.name) && selected(c.Scenarios, s.Name) && selected(c.Placers, p) {
-					results.Go(func() (row, error) { return c.run(d, s, p) })
+					line := &row{}
+					rows = append(rows, line)
+					runs.Go(func() (err error) {
+						*line, err = c.run(d, s, p)
+						return err
+					})
 				}
 			}
 		}
 	}
-	rows, err := results.Wait()
-	if err != nil {
+	if err := runs.Wait(); err != nil {
 		return err
 	}
-	// The pool keeps the order in which the runs were submitted.
-	r.Rows = rows
+	for _, line := range rows {
+		r.Rows = append(r.Rows, *line)
+	}
 	return c.finish(r)
 }
 
