--- a/internal/host/planner.go
+++ b/internal/host/planner.go
@@ -30,7 +30,6 @@
 }
 
 type planState struct {
-	term     topology.Term
 	states   map[topology.ServerName]placement.ServerState
 	since    map[topology.ServerName]time.Time
 	recent   []recentMove
