--- a/internal/host/admin.go
+++ b/internal/host/admin.go
@@ -10,6 +10,9 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/operator"
+	"github.com/cassiasill/cassiasill/internal/settings"
+	"github.com/cassiasill/cassiasill/internal/topology"
 )
 
 // adminService serves health, metrics and the operators' interface.
@@ -21,12 +24,21 @@
 func newAdminService(h *Host) *adminService { return &adminService{host: h} }
 
 func (a *adminService) Name() string       { return serviceAdmin }
-func (a *adminService) Requires() []string { return []string{serviceDeclarations} }
+func (a *adminService) Requires() []string { return []string{serviceDeclarations, serviceRoutes} }
 
 // Start serves the admin address. It stops after the callers' address, so that
 // the balancer can read until the end that this host is not ready.
 func (a *adminService) Start(ctx context.Context, registry *kernel.Registry) error {
-	listener, err := a.host.options.Network.Listen(ctx, a.host.settings.Host.Addresses.Admin)
+	access := operatorSettings(a.host.settings)
+	operators, err := operator.New(operator.Config{
+		Host: a.host.settings.Host.Name, Settings: access, Inventory: inventoryOf(a.host.settings),
+		Writer: a.host.declare.writer, Follower: a.host.declare.follower, Bus: a.host.topics.replicator,
+		Owners: a.host.routes.table, Hosts: liveHosts{a.host}, Effects: effects{a.host}, Log: a.host.log,
+	})
+	if err != nil {
+		return err
+	}
+	listener, err := access.Open(ctx, a.host.options.Network.Listen, a.host.log)
 	if err != nil {
 		return err
 	}
@@ -34,12 +46,29 @@
 	router.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { reply(w, http.StatusOK, "ok") })
 	router.GET("/readyz", a.ready)
 	router.Handler(http.MethodGet, "/metrics", a.host.metrics.Handler())
+	router.NotFound = operators
 	a.server = &http.Server{Handler: router, ReadHeaderTimeout: 5 * time.Second}
 	registry.Go(a.Name(), func(context.Context) error { return serve(a.server, listener) })
 	a.host.log.Info("admin: serving", zap.String("address", listener.Addr().String()))
 	return nil
 }
 
+// operatorSettings returns how the admin address is secured.
+func operatorSettings(s *settings.Settings) operator.Settings {
+	return operator.Settings{
+		Listen: s.Host.Addresses.Admin, TokenFile: s.Operator.TokensFile,
+		CertFile: s.Operator.TLS.Cert, KeyFile: s.Operator.TLS.Key, ClientCAFile: s.Operator.TLS.ClientCA,
+	}
+}
+
+// liveHosts lists the hosts that this one can reach, and itself.
+type liveHosts struct{ host *Host }
+
+// Hosts returns the live hosts.
+func (l liveHosts) Hosts(context.Context) ([]topology.Host, error) {
+	return append(l.host.topics.replicator.Live(), l.host.self()), nil
+}
+
 func (a *adminService) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	if ok, why := a.host.Ready(); !ok {
 		reply(w, http.StatusServiceUnavailable, why)
--- a/internal/operator/auth.go
+++ b/internal/operator/auth.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"crypto/tls"
@@ -59,8 +60,11 @@
 
 func (s Settings) authenticates() bool { return s.TokenFile != "" || s.ClientCAFile != "" }
 
+// ListenFunc opens a TCP address.
+type ListenFunc func(ctx context.Context, address string) (net.Listener, error)
+
 // Open opens the admin address, with TLS if the settings say so.
-func (s Settings) Open(log *zap.Logger) (net.Listener, error) {
+func (s Settings) Open(ctx context.Context, listen ListenFunc, log *zap.Logger) (net.Listener, error) {
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
@@ -71,7 +75,7 @@
 			return nil, err
 		}
 	}
-	listener, err := net.Listen("tcp", s.Listen)
+	listener, err := listen(ctx, s.Listen)
 	if err != nil || tlsConfig == nil {
 		return listener, err
 	}
