Secure connections between hosts with TLS

Hosts verify each other by peerTLS.clientCA. Keys, certificates and tokens are read again when their files change; the operator interface uses the same code.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -99,7 +99,9 @@
 		return nil, err
 	}
 	h.keeper = newKeeper(h)
-	h.topics = newTopicsService(h)
+	if h.topics, err = newTopicsService(h); err != nil {
+		return nil, err
+	}
 	h.leader = newLeadershipService(h)
 	h.loads = newLoadsService(h)
 	h.owner = newOwnershipService(h)
--- a/internal/host/topics.go
+++ b/internal/host/topics.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/cassiasill/cassiasill/internal/credentials"
 	"github.com/cassiasill/cassiasill/internal/kernel"
 	"github.com/cassiasill/cassiasill/internal/peer"
 	"github.com/cassiasill/cassiasill/internal/peersync"
@@ -42,15 +45,29 @@
 	client     *peer.Client
 	replicator *peersync.Replicator
 	server     *http.Server
+	serverTLS  *tls.Config // nil without TLS
 }
 
-func newTopicsService(h *Host) *topicsService {
-	t := &topicsService{host: h, client: peer.NewClient(h.options.Network.Dial, nil)}
+func newTopicsService(h *Host) (*topicsService, error) {
+	t := &topicsService{host: h}
+	var clientTLS *tls.Config
+	if s := h.settings.PeerTLS; s.Enabled() {
+		files := credentials.TLSFiles{Cert: s.Cert, Key: s.Key, CA: s.ClientCA}
+		var err error
+		// A host answers only hosts that show a certificate of the CA.
+		if t.serverTLS, err = files.Server(h.log, tls.RequireAndVerifyClientCert); err != nil {
+			return nil, fmt.Errorf("peerTLS: %w", err)
+		}
+		if clientTLS, err = files.Client(h.log); err != nil {
+			return nil, fmt.Errorf("peerTLS: %w", err)
+		}
+	}
+	t.client = peer.NewClient(h.options.Network.Dial, clientTLS)
 	t.replicator = peersync.NewReplicator(peersync.Options{
 		Self: h.self(), Hosts: func() []topology.Host { return h.settings.Hosts },
 		Wait: syncWait(h.settings), Puller: t.client, Log: h.log,
 	})
-	return t
+	return t, nil
 }
 
 func syncWait(s *settings.Settings) time.Duration {
@@ -75,7 +92,11 @@
 	mux.Handle(peer.NewHandler(t.host.leader, t.replicator, keeperServer{t.host.keeper.table}))
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
+	if t.serverTLS != nil {
+		listener = tls.NewListener(listener, t.serverTLS)
+	}
 	t.server = &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: 5 * time.Second}
 	registry.Go(t.Name(), func(context.Context) error { return serve(t.server, listener) })
 	registry.Go(t.Name(), t.replicator.Run)
--- a/internal/operator/auth.go
+++ b/internal/operator/auth.go
@@ -1,24 +1,21 @@
 package operator
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"strings"
-	"sync"
 
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/credentials"
 	"github.com/cassiasill/cassiasill/internal/operator/api"
 )
 
@@ -71,7 +68,10 @@
 	var tlsConfig *tls.Config
 	if s.CertFile != "" {
 		var err error
-		if tlsConfig, err = s.tlsConfig(log.Named("operator")); err != nil {
+		files := credentials.TLSFiles{Cert: s.CertFile, Key: s.KeyFile, CA: s.ClientCAFile}
+		// The health endpoints on the same address take no certificate;
+		// authenticate demands it for the rest.
+		if tlsConfig, err = files.Server(log.Named("operator"), tls.VerifyClientCertIfGiven); err != nil {
 			return nil, err
 		}
 	}
@@ -82,90 +82,6 @@
 	return tls.NewListener(listener, tlsConfig), nil
 }
 
-// tlsConfig reads the certificate and the client authorities anew for each
-// handshake if the files have changed.
-func (s Settings) tlsConfig(log *zap.Logger) (*tls.Config, error) {
-	load := &reloaded[*tls.Config]{log: log, files: []string{s.CertFile, s.KeyFile}}
-	if s.ClientCAFile != "" {
-		load.files = append(load.files, s.ClientCAFile)
-	}
-	load.parse = func(data [][]byte) (*tls.Config, error) {
-		certificate, err := tls.X509KeyPair(data[0], data[1])
-		if err != nil {
-			return nil, err
-		}
-		c := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{certificate}, NextProtos: []string{"h2", "http/1.1"}}
-		if len(data) > 2 {
-			c.ClientCAs = x509.NewCertPool()
-			if !c.ClientCAs.AppendCertsFromPEM(data[2]) {
-				return nil, fmt.Errorf("%s holds no certificate", s.ClientCAFile)
-			}
-			// The health endpoints on the same address take no certificate;
-			// authenticate demands it for the rest.
-			c.ClientAuth = tls.VerifyClientCertIfGiven
-		}
-		return c, nil
-	}
-	first, err := load.get()
-	if err != nil {
-		return nil, err
-	}
-	c := first.Clone()
-	c.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) { return load.get() }
-	return c, nil
-}
-
-// reloaded is a value parsed from files that is parsed again when they change.
-type reloaded[T any] struct {
-	log   *zap.Logger
-	files []string
-	parse func(data [][]byte) (T, error)
-
-	mu    sync.Mutex
-	last  [][]byte
-	value T
-	ok    bool
-}
-
-// get returns the value of the files as they are now. While they cannot be read
-// or parsed, for instance halfway through a replacement, the last good value
-// stays.
-func (r *reloaded[T]) get() (T, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	data, err := r.read()
-	if err == nil && r.ok && bytes.Equal(bytes.Join(data, nil), bytes.Join(r.last, nil)) {
-		return r.value, nil
-	}
-	var value T
-	if err == nil {
-		value, err = r.parse(data)
-	}
-	switch {
-	case err == nil:
-		if r.ok {
-			r.log.Info("operator: credentials reloaded", zap.Strings("files", r.files))
-		}
-		r.value, r.last, r.ok = value, data, true
-	case r.ok:
-		r.log.Error("operator: cannot reload credentials, keeping the old ones", zap.Error(err))
-		err = nil
-	}
-	return r.value, err
-}
-
-func (r *reloaded[T]) read() ([][]byte, error) {
-	var out [][]byte
-	for _, name := range r.files {
-		data, err := os.ReadFile(name)
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, data)
-	}
-	return out, nil
-}
-
 // token is one line of the token file.
 type token struct {
 	operator string
@@ -198,7 +114,7 @@
 // authenticator finds out who sends a request.
 type authenticator struct {
 	settings Settings
-	tokens   *reloaded[[]token]
+	tokens   *credentials.Reloaded[[]token]
 }
 
 func newAuthenticator(s Settings, log *zap.Logger) (*authenticator, error) {
@@ -206,8 +122,8 @@
 	if s.TokenFile == "" {
 		return a, nil
 	}
-	a.tokens = &reloaded[[]token]{log: log, files: []string{s.TokenFile}, parse: parseTokens}
-	_, err := a.tokens.get()
+	a.tokens = credentials.NewReloaded(log, []string{s.TokenFile}, parseTokens)
+	_, err := a.tokens.Get()
 	return a, err
 }
 
@@ -229,7 +145,7 @@
 	if !ok || a.tokens == nil {
 		return "", apierror.New(apierror.KindUnauthorized, "a %s is needed", a.needed())
 	}
-	tokens, err := a.tokens.get()
+	tokens, err := a.tokens.Get()
 	if err != nil {
 		return "", apierror.New(apierror.KindInternal, "the token file cannot be read")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -212,7 +212,8 @@
 	// Cert and Key identify the server. Default: no TLS.
 	Cert string `yaml:"cert"`
 	Key  string `yaml:"key"`
-	// ClientCA verifies clients. Default: clients need no certificate.
+	// ClientCA verifies clients; in peerTLS also the other hosts. Default:
+	// clients need no certificate; required in peerTLS.
 	ClientCA string `yaml:"clientCA"`
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -44,6 +44,9 @@
 	between(d, "limits.defaultTimeout", s.Limits.DefaultTimeout, Duration(time.Millisecond), Duration(time.Hour))
 	d.validateOperator(s)
 	d.tls("peerTLS", s.PeerTLS)
+	if s.PeerTLS.Enabled() && s.PeerTLS.ClientCA == "" {
+		d.fail("peerTLS.clientCA", "required with peerTLS.cert, because hosts verify each other")
+	}
 }
 
 // required notes a field that is missing or empty.
