--- a/internal/declaration/check.go
+++ b/internal/declaration/check.go
@@ -29,12 +29,12 @@
 	if d.APIVersion != APIVersion {
 		fail("apiVersion", "must be %q, found %q", APIVersion, d.APIVersion)
 	}
-	if _, err := ParseKind(string(d.Kind)); err != nil || Fields(d.Kind) == nil {
-		names := []string{}
-		for _, k := range Kinds() {
-			names = append(names, string(k))
+	if Fields(d.Kind) == nil {
+		if kind, err := ParseKind(string(d.Kind)); err != nil {
+			fail("kind", "%v", err)
+		} else {
+			fail("kind", "must be written %q", kind)
 		}
-		fail("kind", "unknown kind %q%s; kinds are %s", d.Kind, suggestion(string(d.Kind), names), strings.Join(names, ", "))
 		return faults
 	}
 	if !matchesSyntax(nameSyntax, d.Metadata.Name) || len(d.Metadata.Name) > maxNameBytes {
--- a/internal/declaration/document.go
+++ b/internal/declaration/document.go
@@ -140,14 +140,18 @@
 
 // ParseKind returns the kind with the given name in any case.
 func ParseKind(name string) (Kind, error) {
-	names := make([]string, 0, 4)
+	var names, lower []string
 	for _, kind := range Kinds() {
 		if strings.EqualFold(string(kind), name) {
 			return kind, nil
 		}
-		names = append(names, string(kind))
+		names, lower = append(names, string(kind)), append(lower, strings.ToLower(string(kind)))
 	}
-	return "", fmt.Errorf("unknown kind %q%s", name, suggestion(name, names))
+	hint := ""
+	if i := nearest(strings.ToLower(name), lower); i >= 0 {
+		hint = fmt.Sprintf(" (did you mean %q?)", names[i])
+	}
+	return "", fmt.Errorf("unknown kind %q%s; kinds are %s", name, hint, strings.Join(names, ", "))
 }
 
 // Key returns the document's key.
--- a/internal/declaration/suggest.go
+++ b/internal/declaration/suggest.go
@@ -5,16 +5,22 @@
 // suggestion returns ` (did you mean "x"?)` for the candidate nearest to word,
 // or "" if none is near.
 func suggestion(word string, candidates []string) string {
-	best, bestDistance := "", 1+max(2, len(word)/3)
-	for _, c := range candidates {
+	if i := nearest(word, candidates); i >= 0 {
+		return fmt.Sprintf(" (did you mean %q?)", candidates[i])
+	}
+	return ""
+}
+
+// nearest returns the index of the candidate nearest to word, or -1 if none is
+// near enough to be what was meant.
+func nearest(word string, candidates []string) int {
+	best, bestDistance := -1, 1+max(2, len(word)/3)
+	for i, c := range candidates {
 		if d := editDistance(word, c); d < bestDistance {
-			best, bestDistance = c, d
+			best, bestDistance = i, d
 		}
 	}
-	if best == "" {
-		return ""
-	}
-	return fmt.Sprintf(" (did you mean %q?)", best)
+	return best
 }
 
 // editDistance counts the insertions, deletions and replacements that turn a
