--- a/internal/configsync/follower.go
+++ b/internal/configsync/follower.go
@@ -21,12 +21,20 @@
 	// store or any peer. It leaves 2 s of the 5 s within which a change must be
 	// in force everywhere.
 	FreshFor = 3 * time.Second
-	// probeInterval is how often a host that watches the store, or hears no
-	// peer, compares its revision with the head.
+	// probeInterval is how often a host that watches the store, or sees no
+	// sign of one that does, compares its revision with the head.
 	probeInterval = 500 * time.Millisecond
+	// probeRetry is the pause after a probe that failed.
+	probeRetry = 2 * time.Second
 	// peerSilence is how long no peer may answer before the host asks the
 	// store itself.
 	peerSilence = time.Second
+	// verifyInterval is how often watchers together tell that they passed on
+	// the head's revision; verifySilence is how long the other hosts do without
+	// that sign. Together with a probe they stay under the 5 s within which a
+	// change must be in force.
+	verifyInterval = time.Second
+	verifySilence  = 2 * time.Second
 	// watchRetry is the pause before a failed watch is started again.
 	watchRetry = 200 * time.Millisecond
 )
--- a/internal/configsync/payload.go
+++ b/internal/configsync/payload.go
@@ -19,6 +19,9 @@
 	// SnapshotTopic carries all documents at a revision that is not older than
 	// the start of the changes in Topic.
 	SnapshotTopic = "declarations/snapshot"
+	// VerifiedTopic is published by hosts that watch the store, when the head
+	// is the revision that they pass on. Hosts that see none ask the store.
+	VerifiedTopic = "declarations/verified"
 	// InForceTopic is followed by a host's name; the payload is an InForce.
 	InForceTopic = "inforce/"
 )
--- a/internal/configsync/plan.go
+++ b/internal/configsync/plan.go
@@ -45,8 +45,8 @@
 
 // Check refuses a change that is malformed or too large.
 func (c *Change) Check() error {
-	if len(c.ID) < 8 || len(c.ID) > 64 || strings.ContainsAny(c.ID, "/ ") {
-		return apierror.New(apierror.KindBadRequest, "the change's id %q must have 8 to 64 characters without slash and space", c.ID)
+	if err := checkID(c.ID); err != nil {
+		return err
 	}
 	if len(c.Edits) == 0 {
 		return apierror.New(apierror.KindBadRequest, "the change has no edits")
@@ -82,6 +82,13 @@
 	return nil
 }
 
+func checkID(id string) error {
+	if len(id) < 8 || len(id) > 64 || strings.ContainsAny(id, "/ ") {
+		return apierror.New(apierror.KindBadRequest, "the change's id %q must have 8 to 64 characters without slash and space", id)
+	}
+	return nil
+}
+
 // needsHistory reports whether the change was based on a version of a document
 // that is no longer the current one.
 func (c *Change) needsHistory(s State) bool {
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -10,7 +10,9 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/declaration"
+	"github.com/cassiasill/cassiasill/internal/peersync"
 	"github.com/cassiasill/cassiasill/internal/store"
+	"github.com/cassiasill/cassiasill/internal/topology"
 )
 
 // errResync ends a watch whose events do not add up to the head's digest.
@@ -153,17 +155,17 @@
 }
 
 // probe compares the revision in force with the store's head. Watchers do so
-// to notice a watch that has gone silent; the others only while no peer
-// answers, while they know nothing, or while they lack a revision they saw.
+// to notice a watch that has gone silent; the others while they have no sign
+// that a watcher does, for instance because all watchers were lost at once.
 func (f *Follower) probe(ctx context.Context) error {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
-	late := false
+	p := prober{follower: f, verifiedAt: time.Now()}
 	for {
 		f.readPeers()
 		f.learnEmpty()
-		if f.mustProbe() {
-			late = f.probeOnce(ctx, late)
+		if p.due() {
+			p.once(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -173,52 +175,86 @@
 	}
 }
 
-func (f *Follower) mustProbe() bool {
+// prober is the state of the probe.
+type prober struct {
+	follower *Follower
+	// verified is the newest sign of a watcher and verifiedAt when it came.
+	verified   topology.Version
+	verifiedAt time.Time
+	// late is true if the last probe found a newer head.
+	late bool
+	// notBefore delays probes after one that failed.
+	notBefore time.Time
+}
+
+func (p *prober) due() bool {
+	f, now := p.follower, time.Now()
+	if topic, ok := f.config.Bus.Get(VerifiedTopic); ok && topic.Version.Newer(p.verified) {
+		p.verified, p.verifiedAt = topic.Version, now
+	}
 	if f.config.Watching() {
 		return true
 	}
 	f.mu.Lock()
 	lacking := !f.known || !f.behindSince.IsZero()
 	f.mu.Unlock()
-	return lacking || time.Since(f.config.PeerHeard()) > peerSilence
+	silent := now.Sub(p.verifiedAt) > verifySilence || now.Sub(f.config.PeerHeard()) > peerSilence
+	return (lacking || silent) && !now.Before(p.notBefore)
+}
+
+// verify tells the peers that the revision in force is the head's, unless
+// another watcher has just done so.
+func (p *prober) verify() {
+	now := time.Now()
+	if !p.follower.config.Watching() || !p.verified.IsZero() && now.Sub(p.verifiedAt) < verifyInterval {
+		return
+	}
+	p.verified, p.verifiedAt = topology.Version{Term: topology.NextTerm(p.verified.Term, now)}, now
+	p.follower.config.Bus.Publish(peersync.Topic{Name: VerifiedTopic, Version: p.verified})
 }
 
-// probeOnce reads the head, and everything if the head has been newer than the
-// revision in force for two probes. It reports whether the head is newer.
-func (f *Follower) probeOnce(ctx context.Context, late bool) bool {
+// once reads the head, and everything if this host is no watcher or if the
+// head has been newer than the revision in force for two probes.
+func (p *prober) once(ctx context.Context) {
+	f := p.follower
 	getCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := time.Now()
 	kv, found, _, err := f.config.Store.Get(getCtx, headKey)
 	if err != nil {
-		return late
+		// Without the pause the whole fleet would call a store that is down
+		// twice a second.
+		p.notBefore = time.Now().Add(probeRetry)
+		return
 	}
 	f.heardStore(sent)
 	f.mu.Lock()
 	revision, known := f.state.Revision, f.known
 	f.mu.Unlock()
-	if !found {
-		if !known {
-			f.install(State{}, true)
+	var h head
+	if found {
+		if h, err = decodeHead(kv); err != nil {
+			f.log.Error("configsync: the store's head is unreadable", zap.Error(err))
+			return
 		}
-		return false
-	}
-	h, err := decodeHead(kv)
-	if err != nil {
-		f.log.Error("configsync: the store's head is unreadable", zap.Error(err))
-		return false
-	}
-	if known && h.Revision <= revision {
-		return false
+	} else if !known {
+		f.install(State{}, true)
+		return
 	}
-	f.markBehind(h.Revision)
-	if late || !known || !f.config.Watching() {
+	switch {
+	case known && h.Revision <= revision:
+		p.late = false
+		p.verify()
+	case known && f.config.Watching() && !p.late:
+		p.late = true
+		f.markBehind(h.Revision)
+	default:
+		p.late = false
+		f.markBehind(h.Revision)
 		if _, _, err := f.readAll(ctx); err != nil {
 			f.log.Warn("configsync: cannot read all documents", zap.Error(err))
 		}
-		return false
 	}
-	return true
 }
 
 // learnEmpty makes revision 0 known when the store is down but a peer says that
--- a/internal/configsync/writer.go
+++ b/internal/configsync/writer.go
@@ -313,6 +313,9 @@
 // Outcome tells whether the change with the id was accepted. An id that was
 // not accepted yet is closed first, so that the answer is final.
 func (w *Writer) Outcome(ctx context.Context, id string) (Accepted, error) {
+	if err := checkID(id); err != nil {
+		return Accepted{}, err
+	}
 	for range 3 {
 		a, found, err := w.change(ctx, id)
 		if err != nil {
@@ -392,7 +395,7 @@
 	if errors.As(err, &known) {
 		return err
 	}
-	return apierror.Wrap(apierror.KindStoreUnavailable, err, "the store does not answer; nothing was changed")
+	return apierror.Wrap(apierror.KindStoreUnavailable, err, "nothing was changed, because the declarations cannot be read or written: %v", err)
 }
 
 // sleep waits for d or until ctx ends.
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -29,7 +30,8 @@
 		_, err = e.stdout.Write(data)
 		return err
 	}
-	w := tabwriter.NewWriter(e.stdout, 0, 0, 3, ' ', 0)
+	var aligned bytes.Buffer
+	w := tabwriter.NewWriter(&aligned, 0, 0, 3, ' ', 0)
 	table(func(cells ...any) {
 		texts := make([]string, len(cells))
 		for i, c := range cells {
@@ -38,9 +40,17 @@
 				texts[i] = "-"
 			}
 		}
-		fmt.Fprintln(w, strings.TrimRight(strings.Join(texts, "\t"), "\t"))
+		fmt.Fprintln(w, strings.Join(texts, "\t"))
 	})
-	return w.Flush()
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for line := range strings.Lines(aligned.String()) {
+		if _, err := fmt.Fprintln(e.stdout, strings.TrimRight(line, " \n")); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // printResult writes what an accepted change did. Unchanged documents are
--- a/internal/declaration/selector.go
+++ b/internal/declaration/selector.go
@@ -284,13 +284,3 @@
 	}
 	return ""
 }
-
-// Labels returns the label names that the selector refers to.
-func (s Selector) Labels() []string {
-	out := make([]string, 0, len(s.requirements))
-	for _, r := range s.requirements {
-		out = append(out, r.label)
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/cassiasill/cassiasill/internal/topology"
 )
 
 // Finding is a fault of a document in the context of all others. Warnings do
@@ -120,17 +122,15 @@
 		return
 	}
 	matched := 0
-	known := map[string]bool{}
+	known := make(map[string]map[string]bool)
 	for _, server := range service.servers {
 		if servers.Matches(server.labels) {
 			matched++
 		}
-		for name := range server.labels {
-			known[name] = true
-		}
+		addKnown(known, server.labels)
 	}
 	if matched == 0 {
-		v.add(true, d, "spec.servers", "matches none of the %d servers of %s%s", len(service.servers), d.Spec.Service, unknownLabels(servers, known))
+		v.add(true, d, "spec.servers", "matches none of the %d servers of %s%s", len(service.servers), d.Spec.Service, unknownNames(servers, known))
 	}
 	if d.Kind != KindOwnershipRule {
 		return
@@ -139,28 +139,45 @@
 	if err != nil || keys.IsEmpty() {
 		return
 	}
-	known = map[string]bool{LabelKey: true}
+	known = map[string]map[string]bool{LabelKey: nil}
 	for _, other := range v.set.documents {
 		if other.Kind == KindKeyLabels && other.Spec.Service == d.Spec.Service {
-			for name := range other.Spec.Labels {
-				known[name] = true
-			}
+			addKnown(known, other.Spec.Labels)
 		}
 	}
-	if hint := unknownLabels(keys, known); hint != "" {
-		v.add(true, d, "spec.keys", "selects by a label that no key has%s", hint)
+	if hint := unknownNames(keys, known); hint != "" {
+		v.add(true, d, "spec.keys", "selects by a label or value that no key has%s", hint)
 	}
 }
 
-func unknownLabels(s Selector, known map[string]bool) string {
-	names := sortedNames(known)
-	var hints []string
-	for _, label := range s.Labels() {
-		if !known[label] {
-			hints = append(hints, fmt.Sprintf("; no label %s%s", label, suggestion(label, names)))
+func addKnown(known map[string]map[string]bool, labels topology.Labels) {
+	for name, value := range labels {
+		if known[name] == nil {
+			known[name] = make(map[string]bool)
+		}
+		known[name][value] = true
+	}
+}
+
+// unknownNames lists the labels and the values of equalities in s that nothing
+// has. A nil set of values stands for any.
+func unknownNames(s Selector, known map[string]map[string]bool) string {
+	var hints strings.Builder
+	for _, r := range s.requirements {
+		values, ok := known[r.label]
+		if !ok && r.op != opAbsent && r.op != opNotIn {
+			fmt.Fprintf(&hints, "; no label %s%s", r.label, suggestion(r.label, sortedNames(known)))
+		}
+		if r.op != opIn || values == nil {
+			continue
+		}
+		for _, value := range r.values {
+			if !values[value] {
+				fmt.Fprintf(&hints, "; no %s=%s%s", r.label, value, suggestion(value, sortedNames(values)))
+			}
 		}
 	}
-	return strings.Join(hints, "")
+	return hints.String()
 }
 
 // unownedKeys warns of keys that rules and drains leave without a server.
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -174,7 +174,8 @@
 // Outcome returns what became of a change. A change that was not accepted yet
 // is closed, so that the answer is final.
 func (c *Client) Outcome(ctx context.Context, id string) (out configsync.Accepted, err error) {
-	return out, c.read(ctx, "/v1/changes/"+url.PathEscape(id), &out)
+	_, err = c.call(ctx, http.MethodPost, "/v1/changes/"+url.PathEscape(id), nil, &out, true)
+	return out, err
 }
 
 // Status returns the revision in force on each host.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -103,7 +103,7 @@
 	s.handle(http.MethodPost, "/v1/diff", s.diff)
 	s.handle(http.MethodPost, "/v1/changes", s.apply)
 	s.handle(http.MethodGet, "/v1/changes", s.history)
-	s.handle(http.MethodGet, "/v1/changes/:id", s.outcome)
+	s.handle(http.MethodPost, "/v1/changes/:id", s.outcome)
 	s.handle(http.MethodGet, "/v1/labels", s.labels)
 	s.handle(http.MethodGet, "/v1/status", s.status)
 	s.handle(http.MethodGet, "/v1/explain", s.explain)
--- a/internal/operator/queries.go
+++ b/internal/operator/queries.go
@@ -40,6 +40,7 @@
 	return reply, nil
 }
 
+// outcome is a POST because it closes an id that was not accepted yet.
 func (s *Server) outcome(c call) (any, error) {
 	return s.config.Writer.Outcome(c.Context(), c.params.ByName("id"))
 }
