Let a caller that exceeds its share wait one class lower

Cause: one caller that floods with bookings displaced everybody's lookups, since fairness held only within a class.

--- a/internal/admission/judge.go
+++ b/internal/admission/judge.go
@@ -1,11 +1,15 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
 
 // judge refuses a request that cannot meet its deadline or would wait too
 // long, and returns the last moment at which sending it makes sense.
-func (s *scheduler) judge(now time.Duration, r *request, target *server) (latest time.Duration, kind refusal) {
-	wait := s.expectedWait(r, target)
+func (s *scheduler) judge(now time.Duration, r *request, rank Class, target *server) (latest time.Duration, kind refusal) {
+	wait := s.expectedWait(r.caller, rank, target)
 	latest = now + s.config.MaxWait
 	if r.hasDeadline {
 		if r.deadline <= now {
@@ -42,7 +46,7 @@
 }
 
 // expectedWait is the time in this host's queue.
-func (s *scheduler) expectedWait(r *request, target *server) time.Duration {
+func (s *scheduler) expectedWait(caller topology.Caller, rank Class, target *server) time.Duration {
 	mean, limit, inFlight, size := s.overall.mean, s.window.limit, s.inFlight-s.stuck, s.shared.size
 	queue := &s.shared
 	if target != nil {
@@ -52,15 +56,15 @@
 	if size == 0 && float64(inFlight)+1 <= limit {
 		return 0
 	}
-	ahead := queue.ahead(r.caller, r.class)
+	ahead := queue.ahead(caller, rank)
 	return time.Duration(float64(ahead+1) * mean / max(limit, minWindow))
 }
 
 // makeRoom drops the newest request of the longest flow in the least important
 // class, if that is not the newcomer's own kind.
-func (s *scheduler) makeRoom(r *request) bool {
+func (s *scheduler) makeRoom(caller topology.Caller, rank Class) bool {
 	queue, class, f := s.largest()
-	if f == nil || class < r.class || (class == r.class && f.caller == r.caller) {
+	if f == nil || class < rank || (class == rank && f.caller == caller) {
 		return false
 	}
 	w := f.tail
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -10,6 +10,7 @@
 type waiter struct {
 	caller   topology.Caller
 	class    Class
+	rank     Class   // the class in whose queue it waits
 	pinned   *server // nil: any server
 	movable  bool    // pinned only because other servers were already tried
 	exclude  []topology.ServerName
@@ -118,14 +119,14 @@
 }
 
 // pop takes the next request out of the round.
-func (q *fairQueue) pop(cost func(topology.Caller, Class) float64) *waiter {
+func (q *fairQueue) pop(cost func(topology.Caller) float64) *waiter {
 	for q.turn != nil {
 		f := q.turn
 		if !f.granted {
 			f.deficit++
 			f.granted = true
 		}
-		need := min(max(cost(f.caller, f.head.class), minCost), maxCost)
+		need := min(max(cost(f.caller), minCost), maxCost)
 		if q.active > 1 && f.deficit < need {
 			f.granted = false
 			q.turn = f.next
@@ -178,12 +179,12 @@
 
 func (q *classQueue) push(w *waiter) {
 	w.queue = q
-	q.classes[w.class].push(w)
+	q.classes[w.rank].push(w)
 	q.size++
 }
 
 func (q *classQueue) remove(w *waiter) {
-	q.classes[w.class].remove(w)
+	q.classes[w.rank].remove(w)
 	q.size--
 	w.queue = nil
 }
@@ -204,7 +205,7 @@
 	return first
 }
 
-func (q *classQueue) pop(cost func(topology.Caller, Class) float64) *waiter {
+func (q *classQueue) pop(cost func(topology.Caller) float64) *waiter {
 	class := q.nextClass()
 	for c := class + 1; c < classCount; c++ {
 		if q.classes[c].size > 0 {
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -75,11 +75,12 @@
 	latencies [classCount]estimator
 	overall   estimator
 	slowdown  float64
-	costs     map[topology.Caller]float64
+	callers   callerRecords
 	shedShare float64
 	refusedAt [classCount]time.Duration // last refusal per class, negative: none
 	queued    [classCount]int           // waiting requests per class
 	pressure  float64                   // reported requests per slot over all servers
+	forgetAt  time.Duration             // next removal of old caller records
 	checkAt   time.Duration             // next check for stalls, pauses, ramps and ejections
 }
 
@@ -87,7 +88,7 @@
 const checkInterval = 5 * time.Millisecond
 
 func newScheduler(config ServiceConfig, random *rand.Rand) *scheduler {
-	s := &scheduler{config: config.withDefaults(), random: random, costs: map[topology.Caller]float64{}, slowdown: 1}
+	s := &scheduler{config: config.withDefaults(), random: random, slowdown: 1}
 	s.policy = s.config.Policy
 	s.view.AvailabilityZone = s.config.AvailabilityZone
 	s.view.Hosts = 1
@@ -166,7 +167,11 @@
 	} else if len(r.exclude) > 0 {
 		target, movable = s.bestExcept(r.exclude), true
 	}
-	latest, kind := s.judge(now, r, target)
+	rank := r.class
+	if rank < classCount-1 && s.callers.exceeds(now, r.caller) {
+		rank++
+	}
+	latest, kind := s.judge(now, r, rank, target)
 	if kind != accepted {
 		s.refused(now, r.class)
 		return nil, nil, kind
@@ -175,12 +180,12 @@
 		s.send(now, chosen, r.class, target == nil || movable)
 		return chosen, nil, accepted
 	}
-	if s.waiting >= s.config.MaxWaiting && !s.makeRoom(r) {
+	if s.waiting >= s.config.MaxWaiting && !s.makeRoom(r.caller, rank) {
 		s.refused(now, r.class)
 		return nil, nil, refusedOverloaded
 	}
 	w := &waiter{
-		caller: r.caller, class: r.class, pinned: target, movable: movable, exclude: r.exclude,
+		caller: r.caller, class: r.class, rank: rank, pinned: target, movable: movable, exclude: r.exclude,
 		enqueued: now, latest: latest, deadline: r.hasDeadline && latest < now+s.config.MaxWait,
 	}
 	s.enqueue(w)
@@ -293,9 +298,10 @@
 			continue
 		}
 		srv.pinnedTurn = true
-		w := s.shared.pop(s.cost)
+		w := s.shared.pop(s.callers.cost)
 		s.dequeued(w)
 		s.send(now, srv, w.class, true)
+		s.callers.charge(now, w.caller)
 		s.resolve(w, srv, accepted)
 	}
 	if s.shared.size > 0 {
@@ -346,20 +352,13 @@
 
 func (s *scheduler) grantPinned(now time.Duration, srv *server) {
 	srv.pinnedTurn = false
-	w := srv.pinned.pop(s.cost)
+	w := srv.pinned.pop(s.callers.cost)
 	s.dequeued(w)
 	s.send(now, srv, w.class, w.movable)
+	s.callers.charge(now, w.caller)
 	s.resolve(w, srv, accepted)
 }
 
-// cost is the caller's usual time at a server relative to the class's.
-func (s *scheduler) cost(caller topology.Caller, _ Class) float64 {
-	if c, ok := s.costs[caller]; ok {
-		return c
-	}
-	return 1
-}
-
 // done records the end of a request at srv and grants what can be sent now.
 func (s *scheduler) done(now time.Duration, srv *server, r *request, shared bool, outcome Outcome, latency time.Duration) {
 	s.window.dither, srv.window.dither = s.random.Float64(), s.random.Float64()
@@ -403,7 +402,7 @@
 		s.slowdown += meanGain * (slowdown - s.slowdown)
 		srv.slowdown += serverGain * (slowdown - srv.slowdown)
 		if s.waiting > 0 {
-			s.learnCost(r, latency, estimate.mean)
+			s.callers.learn(r.caller, float64(latency)/max(estimate.mean, 1))
 		}
 	}
 	if srv.index >= 0 {
@@ -444,20 +443,6 @@
 // requests.
 const serverGain = 0.2
 
-// maxCosts bounds the memory for callers' costs.
-const maxCosts = 4096
-
-func (s *scheduler) learnCost(r *request, latency time.Duration, mean float64) {
-	old, ok := s.costs[r.caller]
-	if !ok {
-		if len(s.costs) >= maxCosts {
-			clear(s.costs)
-		}
-		old = 1
-	}
-	s.costs[r.caller] = old + meanGain*(float64(latency)/max(mean, 1)-old)
-}
-
 // nextEvent is the next time at which expire has something to do.
 func (s *scheduler) nextEvent() time.Duration {
 	next := time.Duration(math.MaxInt64)
--- a/internal/admission/servers.go
+++ b/internal/admission/servers.go
@@ -80,7 +80,7 @@
 // go elsewhere does, the rest is refused.
 func (s *scheduler) release(srv *server) {
 	for srv.pinned.size > 0 {
-		w := srv.pinned.pop(s.cost)
+		w := srv.pinned.pop(s.callers.cost)
 		s.dequeued(w)
 		w.pinned = nil
 		if w.movable && s.anyUsable(w.exclude) {
@@ -92,7 +92,7 @@
 	}
 	if s.shared.size > 0 && !s.anyUsable(nil) {
 		for s.shared.size > 0 {
-			w := s.shared.pop(s.cost)
+			w := s.shared.pop(s.callers.cost)
 			s.dequeued(w)
 			s.resolve(w, nil, refusedNoUpstream)
 		}
@@ -178,6 +178,10 @@
 		s.sync(srv)
 	}
 	s.pressure = pressure / float64(max(reports, 1))
+	if now >= s.forgetAt {
+		s.forgetAt = now + useMemory
+		s.callers.forget(now)
+	}
 }
 
 // serverPressure is the reported number of requests per slot, or 0 without a
--- a/internal/bench/balance/run.go
+++ b/internal/bench/balance/run.go
@@ -160,7 +160,11 @@
 	for _, m := range s.servers {
 		capacity += m.slots
 	}
-	mean := float64(s.workload.meanWork()) / float64(capacity) / load
+	work := s.workload.meanWork()
+	if caller != "" {
+		work = s.workload.kinds[0].mean
+	}
+	mean := float64(work) / float64(capacity) / load
 	end := s.options.Warmup + s.options.Duration + tail
 	var next func()
 	next = func() {
