--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -406,9 +406,7 @@
 		}
 	}
 	if srv.index >= 0 {
-		if outcome != OutcomeShed {
-			s.outliers[srv.index].Observe(outcome == OutcomeOK)
-		}
+		s.outliers[srv.index].Observe(outcome == OutcomeOK)
 		v := &s.view.Servers[srv.index]
 		v.Slowdown, v.ObservedAt = srv.slowdown, now
 	}
--- a/internal/balance/ejection.go
+++ b/internal/balance/ejection.go
@@ -10,8 +10,9 @@
 }
 
 const (
-	// ejectAfter consecutive failures eject: one or two happen to any server
-	// whose connection breaks.
+	// ejectAfter consecutive failures or sheds eject: one or two happen to any
+	// server. A server that refuses everything answers fast and looks free; one
+	// that is only busy answers in between.
 	ejectAfter = 3
 	// firstEjection doubles with each ejection up to maxEjection.
 	firstEjection = time.Second
