Keep the service's window when one server alone sheds

Cause: sheds of one faulty server cut the window for all servers. Change: a shed cuts the service's window only if another server shed before.

--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -77,6 +77,7 @@
 	slowdown  float64
 	callers   callerRecords
 	shedShare float64
+	lastShed  *server
 	refusedAt [classCount]time.Duration // last refusal per class, negative: none
 	queued    [classCount]int           // waiting requests per class
 	pressure  float64                   // reported requests per slot over all servers
@@ -422,7 +423,7 @@
 		base++
 	}
 	srv.window.onOutcome(now, base, signal, srv.slowdown, s.serverPressure(now, srv), usual)
-	if shared && outcome != OutcomeFailed && !wasStalled {
+	if shared && outcome != OutcomeFailed && !wasStalled && !s.lone(srv, outcome) {
 		s.window.onOutcome(now, s.window.share, outcome, s.slowdown, s.pressure, usual)
 	}
 	pause := srv.window.pause(usual)
@@ -437,6 +438,17 @@
 	}
 }
 
+// lone tells whether srv alone has shed lately: then the fault is its own, and
+// the service's window stays.
+func (s *scheduler) lone(srv *server, outcome Outcome) bool {
+	if outcome != OutcomeShed {
+		return false
+	}
+	alone := s.lastShed == srv || s.lastShed == nil
+	s.lastShed = srv
+	return alone
+}
+
 // serverGain is higher than meanGain: each host sees only a part of a server's
 // requests.
 const serverGain = 0.2
