Place keys by prefix and pattern rules

Cause: rules by prefix or pattern selected keys, but slices are ranges of hashes and only keys with exact documents got slices of their own. Hosts now judge the keys of their requests and publish those that not every server may own.

--- a/internal/declaration/set.go
+++ b/internal/declaration/set.go
@@ -379,3 +379,10 @@
 	labels[LabelCaller] = string(caller)
 	return labels
 }
+
+// HasOwnershipRules reports whether any key of the service can belong to
+// another group than the keys without labels.
+func (s *Set) HasOwnershipRules(service topology.ServiceName) bool {
+	target := s.services[service]
+	return target != nil && len(target.ownership) > 0
+}
--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -47,7 +47,7 @@
 		Admitter:    eligibleAdmitter{c.admission, h.declare.follower, serverNames(h.settings)},
 		Quarantine:  h.suspicions.table,
 		Idempotency: idempotency.NewClient(h.keeper, h.keeper.liveHosts),
-		Limits:      proxyLimits(h.settings.Limits), Logger: h.log, Metrics: h.requests, Dial: h.options.Network.Dial,
+		Limits:      proxyLimits(h.settings.Limits), Logger: h.log, Metrics: h.requests, Keys: h.restricted, Dial: h.options.Network.Dial,
 	})
 	return c
 }
--- a/internal/host/effects.go
+++ b/internal/host/effects.go
@@ -45,10 +45,12 @@
 // input returns the planner's input under the rules of a set.
 func (e effects) input(service topology.ServiceName, servers []topology.Server, assignment *topology.Assignment) func(*declaration.Set) placement.Input {
 	view := e.host.loads.merged(service)
+	restricted := e.host.restricted.keys(service)
 	return func(set *declaration.Set) placement.Input {
+		rules := newKeyRules(set, service, restricted)
 		in := placement.Input{
 			Service: service, Assignment: assignment, Load: view.Load, Samples: view.Samples(),
-			Isolated: isolated(set, service), Eligible: eligibility(set, service),
+			Isolated: rules.isolated(), Eligible: rules.mayOwn,
 			MoveGap: moveGap, Policy: placement.DefaultPolicy(), Budget: placement.DefaultBudget(),
 		}
 		for _, s := range servers {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -71,6 +71,7 @@
 	keeper     *keeper
 	suspicions *suspicionsService
 	health     *healthService
+	restricted *restrictedService
 	callers    *callersService
 	admin      *adminService
 }
@@ -109,6 +110,7 @@
 	h.routes = newRoutesService(h)
 	h.suspicions = newSuspicionsService(h)
 	h.health = newHealthService(h)
+	h.restricted = newRestrictedService(h)
 	h.callers = newCallersService(h)
 	h.admin = newAdminService(h)
 	if err := h.registerState(metrics.Meter("host")); err != nil {
@@ -117,7 +119,7 @@
 	// The callers' service is last: it stops first, while the admin address
 	// still answers that the host is not ready.
 	h.kernel = kernel.New(h.log, stopTimeout, h.topics, h.leader, h.loads, h.owner, h.declare,
-		h.routes, h.suspicions, h.health, h.admin, h.callers)
+		h.routes, h.suspicions, h.health, h.restricted, h.admin, h.callers)
 	return h, nil
 }
 
--- /dev/null
+++ b/internal/host/keyrules.go
@@ -0,0 +1,52 @@
+package host
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cassiasill/cassiasill/internal/declaration"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// keyRules tells the planner which positions need slices of their own and which
+// servers may own a range.
+type keyRules struct {
+	byPosition map[topology.Hash][]topology.ServerName
+	others     []topology.ServerName
+}
+
+// newKeyRules prepares the rules of a set for the keys with documents of their
+// own and for the restricted keys in use.
+func newKeyRules(set *declaration.Set, service topology.ServiceName, restricted []string) *keyRules {
+	r := &keyRules{byPosition: make(map[topology.Hash][]topology.ServerName)}
+	ordinary := set.DefaultGroup(service)
+	r.others = ordinary.Servers
+	for _, keys := range [][]string{set.LabeledKeys(service), restricted} {
+		for _, key := range keys {
+			// A key whose labels change nothing needs no slice of its own.
+			if group := set.GroupOf(service, key); group.ID != ordinary.ID {
+				r.byPosition[topology.HashKey(key)] = group.Servers
+			}
+		}
+	}
+	return r
+}
+
+// isolated returns the positions that need slices of their own, sorted.
+func (r *keyRules) isolated() []topology.Hash {
+	out := make([]topology.Hash, 0, len(r.byPosition))
+	for h := range r.byPosition {
+		out = append(out, h)
+	}
+	slices.SortFunc(out, cmp.Compare[topology.Hash])
+	return out
+}
+
+// mayOwn reports whether a server may own a range: one of a single position
+// follows the rules of its key, any other those of keys without labels.
+func (r *keyRules) mayOwn(bounds topology.Range, server topology.ServerName) bool {
+	if servers, ok := r.byPosition[bounds.First]; ok && bounds.First == bounds.Last {
+		return slices.Contains(servers, server)
+	}
+	return slices.Contains(r.others, server)
+}
--- a/internal/host/ownership.go
+++ b/internal/host/ownership.go
@@ -18,19 +18,28 @@
 // adds to their age at other hosts.
 const confirmInterval = 20 * time.Millisecond
 
+// rulesMaxAge is how long prepared rules do without newly found keys.
+const rulesMaxAge = time.Second
+
 // ownershipService leads placement while this host is the leader.
 type ownershipService struct {
 	host       *Host
 	controller *ownership.Controller
 	services   []ownership.Service
 
-	mu          sync.Mutex
-	preparedFor *declaration.Set
-	prepared    map[topology.ServiceName]func(topology.Range, topology.ServerName) bool
+	mu       sync.Mutex
+	prepared map[topology.ServiceName]preparedRules
+}
+
+// preparedRules are the rules of a set with the restricted keys known at a time.
+type preparedRules struct {
+	set   *declaration.Set
+	at    time.Time
+	rules *keyRules
 }
 
 func newOwnershipService(h *Host) *ownershipService {
-	o := &ownershipService{host: h}
+	o := &ownershipService{host: h, prepared: make(map[topology.ServiceName]preparedRules)}
 	for _, s := range h.settings.Services {
 		if s.DividedByKey {
 			o.services = append(o.services, ownership.Service{
@@ -49,20 +58,17 @@
 }
 
 // eligible reports whether a server may take over a range. It is asked for each
-// range of a lost server, so the rules of one revision are prepared once.
+// range of a lost server, so the rules are prepared once for a short time.
 func (o *ownershipService) eligible(service topology.ServiceName, server topology.ServerName, r topology.Range) bool {
 	set := o.host.declare.follower.Current()
 	o.mu.Lock()
-	if o.preparedFor != set {
-		o.preparedFor, o.prepared = set, make(map[topology.ServiceName]func(topology.Range, topology.ServerName) bool)
-	}
-	check := o.prepared[service]
-	if check == nil {
-		check = eligibility(set, service)
-		o.prepared[service] = check
+	p := o.prepared[service]
+	if p.set != set || time.Since(p.at) > rulesMaxAge {
+		p = preparedRules{set, time.Now(), newKeyRules(set, service, o.host.restricted.keys(service))}
+		o.prepared[service] = p
 	}
 	o.mu.Unlock()
-	return check(r, server)
+	return p.rules.mayOwn(r, server)
 }
 
 func (o *ownershipService) Name() string       { return serviceOwnership }
--- a/internal/host/planner.go
+++ b/internal/host/planner.go
@@ -1,13 +1,11 @@
 package host
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/cassiasill/cassiasill/internal/declaration"
 	"github.com/cassiasill/cassiasill/internal/ownership"
 	"github.com/cassiasill/cassiasill/internal/placement"
 	"github.com/cassiasill/cassiasill/internal/topology"
@@ -58,11 +56,12 @@
 	state := p.states[service]
 	set := p.host.declare.follower.Current()
 	view := p.host.loads.merged(service)
+	rules := newKeyRules(set, service, p.host.restricted.keys(service))
 	in := placement.Input{
 		Service: service, Assignment: input.Assignment,
 		Servers: state.servers(input, func(s topology.ServerName) bool { return set.Drained(service, s) }),
 		Load:    view.Load, Samples: view.Samples(),
-		Isolated: isolated(set, service), Eligible: eligibility(set, service),
+		Isolated: rules.isolated(), Eligible: rules.mayOwn,
 		MoveGap: moveGap, Recent: state.recentMoves(input), Policy: placement.DefaultPolicy(), Budget: placement.DefaultBudget(),
 	}
 	objective := p.host.settings.Objective
@@ -146,30 +145,3 @@
 	}
 	state.warnings = warnings
 }
-
-// isolated returns the positions of keys with labels of their own, sorted.
-func isolated(set *declaration.Set, service topology.ServiceName) []topology.Hash {
-	var out []topology.Hash
-	for _, key := range set.LabeledKeys(service) {
-		out = append(out, topology.HashKey(key))
-	}
-	slices.SortFunc(out, cmp.Compare[topology.Hash])
-	return slices.Compact(out)
-}
-
-// eligibility returns which servers may own a range: a range of one position
-// follows the rules of the key that is labeled there, any other those of keys
-// without labels.
-func eligibility(set *declaration.Set, service topology.ServiceName) func(topology.Range, topology.ServerName) bool {
-	byPosition := make(map[topology.Hash][]topology.ServerName)
-	for _, key := range set.LabeledKeys(service) {
-		byPosition[topology.HashKey(key)] = set.MayOwn(service, key)
-	}
-	others := set.DefaultGroup(service).Servers
-	return func(r topology.Range, server topology.ServerName) bool {
-		if servers, ok := byPosition[r.First]; ok && r.First == r.Last {
-			return slices.Contains(servers, server)
-		}
-		return slices.Contains(others, server)
-	}
-}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -215,6 +215,9 @@
 			key = values[0]
 		}
 		q.position = topology.HashKey(key)
+		if observer := q.handler.options.Keys; observer != nil {
+			observer.Key(s.Name, key, q.position)
+		}
 	}
 	q.route = matchRoute(s.Routes, q.r.Method, rest)
 	q.caller = callerOf(q.r, s.CallerHeader)
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -126,6 +126,11 @@
 	Waiting(service topology.ServiceName, requests int64)
 }
 
+// KeyObserver learns which keys are in use. Its method must not block.
+type KeyObserver interface {
+	Key(service topology.ServiceName, key string, position topology.Hash)
+}
+
 type noMetrics struct{}
 
 func (noMetrics) Attempt(topology.ServiceName, topology.ServerName, Seen, time.Duration) {}
@@ -147,6 +152,8 @@
 	Limits      Limits
 	Logger      *zap.Logger
 	Metrics     Metrics
+	// Keys learns the key of each request to a keyed service, if not nil.
+	Keys KeyObserver
 	// Dial replaces the dialer, for simulated latency between zones.
 	Dial DialFunc
 }
