--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -359,3 +359,24 @@
 		assert.Assert(t, errors.As(err, &structured))
 	})
 }
+
+// Guards against a history that grows without bound.
+func TestHistoryIsBounded(t *testing.T) {
+	inCluster(t, func(t *testing.T, _ context.Context, s *fakeStore, hosts []*fakeHost) {
+		s.set(func() {
+			for i := range historyLimit + 50 {
+				id := fmt.Sprintf("old-%05d", i)
+				s.keys[changeKey(id)] = store.KeyValue{Key: changeKey(id), Value: encode(Accepted{ID: id}), ModRevision: int64(i) - historyLimit - 50}
+			}
+		})
+		var last Result
+		for i := range trimInterval {
+			last = mustApply(t, hosts[0], change(fmt.Sprintf("trim-%03d", i), labels("inv-03", last.Revision, fmt.Sprintf("round=%d", i))))
+		}
+		time.Sleep(time.Second)
+		history, err := hosts[0].writer.History(context.Background())
+		assert.NilError(t, err)
+		assert.Assert(t, len(history) <= historyLimit, "%d changes are kept", len(history))
+		assert.Equal(t, history[len(history)-1].ID, last.ID, "the newest change is gone")
+	})
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -125,6 +125,11 @@
 		id := rand.Text()
 		name, err := s.auth.operator(r)
 		var reply any
+		if err == nil && method == http.MethodPost && r.Header.Get("Content-Type") != "application/json" {
+			// A web page cannot send this type to another address unasked, so
+			// it cannot use an operator's browser against a loopback address.
+			err = apierror.New(apierror.KindBadRequest, "the Content-Type must be application/json")
+		}
 		if err == nil {
 			r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 			reply, err = answer(call{r, name, params})
