Eject again at the first failure after an ejection

Cause: after each ejection three more requests were lost on a frozen server. Change: until a request has succeeded one failure is enough.

--- a/internal/balance/ejection.go
+++ b/internal/balance/ejection.go
@@ -28,6 +28,12 @@
 	o.consecutive++
 }
 
+// failing tells whether the failures are in line for an ejection. After one,
+// the first failure is enough until a request has succeeded.
+func (o *Outlier) failing() bool {
+	return o.consecutive >= ejectAfter || (o.times > 0 && o.consecutive > 0)
+}
+
 // Eject moves servers whose failures are in line from ready to ejected and
 // back to cold after their time. At most a third of the servers is ejected:
 // beyond that the fault is more likely common than the servers' own, and the
@@ -47,7 +53,7 @@
 	}
 	for i := range servers {
 		o := &outliers[i]
-		if !servers[i].Usable() || o.consecutive < ejectAfter || (ejected+1)*3 > len(servers) {
+		if !servers[i].Usable() || !o.failing() || (ejected+1)*3 > len(servers) {
 			continue
 		}
 		o.until = now + min(firstEjection<<min(o.times, 10), maxEjection)
