--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -60,7 +60,7 @@
 	parts := &fakeParts{}
 	server, err := New(Config{Host: "host-1", Settings: settings, Writer: parts, Follower: parts, Bus: parts, Log: log})
 	assert.NilError(t, err)
-	listener, err := settings.Open(log)
+	listener, err := settings.Open(t.Context(), listenTCP, log)
 	assert.NilError(t, err)
 	h := &http.Server{Handler: server, ErrorLog: zap.NewStdLog(zap.NewNop())}
 	done := make(chan struct{})
@@ -295,3 +295,8 @@
 		assert.Equal(t, status, apierror.AnswerFor(c.kind).Status)
 	}
 }
+
+func listenTCP(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(ctx, "tcp", address)
+}
