Precompute leases, sample long server lists, model an outage and wrong host counts

The leased policy reads its places from the view; of more than 64 servers a sample and the own places are ranked.

--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -130,6 +130,7 @@
 		srv.window.setShare(float64(s.view.Servers[i].Slots), s.view.Hosts, 0)
 		s.sync(srv)
 	}
+	balance.AssignLeases(&s.view)
 }
 
 // sync copies what the policies see of srv into the view.
--- a/internal/balance/policy.go
+++ b/internal/balance/policy.go
@@ -140,6 +140,23 @@
 
 // Choose implements Policy.
 func (Leased) Choose(view *View, random *rand.Rand) int {
+	if len(view.Servers) <= maxScan {
+		return pickLowest(view, random, leasedScore)
+	}
+	// A long list is not ranked whole: the own places are found by arithmetic.
+	r := ranking{best: -1}
+	n, hosts := len(view.Servers), max(view.Hosts, 1)
+	place := view.Host % hosts
+	for range sampleSize {
+		if place >= n*placesPerSlot*max(view.Servers[place%n].Slots, 1) {
+			break
+		}
+		r.offer(view, random, place%n, leasedScore)
+		place += hosts
+	}
+	if r.best >= 0 && view.Servers[r.best].InFlight < view.Servers[r.best].Leased {
+		return r.best
+	}
 	return pickLowest(view, random, leasedScore)
 }
 
@@ -154,21 +171,24 @@
 func leasedScore(view *View, i int) float64 {
 	s := &view.Servers[i]
 	score := probeScore(view, i)
-	if s.InFlight >= leasedPlaces(view, i) {
+	if s.InFlight >= s.Leased {
 		score += borrowPenalty / s.weight()
 	}
 	return score
 }
 
-// leasedPlaces counts the places at server i that belong to this host. Place k
-// of server i has the number k*n+i; the numbers are dealt to the hosts in turn.
-func leasedPlaces(view *View, i int) int {
+// AssignLeases sets the number of places that this host has at each server.
+// Place k of server i has the number k*n+i; the numbers are dealt to the hosts
+// in turn. It must run after every change of the servers or hosts.
+func AssignLeases(view *View) {
 	n, hosts := len(view.Servers), max(view.Hosts, 1)
-	count := 0
-	for k := range max(view.Servers[i].Slots, 1) * placesPerSlot {
-		if (k*n+i)%hosts == view.Host%hosts {
-			count++
+	for i := range view.Servers {
+		s := &view.Servers[i]
+		s.Leased = 0
+		for k := range max(s.Slots, 1) * placesPerSlot {
+			if (k*n+i)%hosts == view.Host%hosts {
+				s.Leased++
+			}
 		}
 	}
-	return count
 }
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -31,6 +31,8 @@
 	// how many of them it may have.
 	InFlight int
 	Limit    float64
+	// Leased is the number of places that belong to this host; see AssignLeases.
+	Leased int
 	// Slowdown is this host's estimate of the server's latency, relative to
 	// the latency without queueing. Zero means no observation.
 	Slowdown float64
@@ -87,25 +89,50 @@
 	Choose(view *View, random *rand.Rand) int
 }
 
-// pickLowest returns the free server with the lowest score; equal scores are
-// decided at random, so that hosts with equal views do not herd.
+// maxScan is the number of servers up to which all are ranked. Of more, a
+// sample is ranked: the decision must stay cheap with 1,900 servers.
+const (
+	maxScan    = 64
+	sampleSize = 16
+)
+
+// ranking keeps the free server with the lowest score; equal scores are decided
+// at random, so that hosts with equal views do not herd.
+type ranking struct {
+	best, ties int
+	lowest     float64
+}
+
+func (r *ranking) offer(view *View, random *rand.Rand, i int, score func(*View, int) float64) {
+	if !view.Servers[i].Free() {
+		return
+	}
+	value := score(view, i)
+	switch {
+	case r.best < 0 || value < r.lowest:
+		r.best, r.ties, r.lowest = i, 1, value
+	case value == r.lowest:
+		r.ties++
+		if random.IntN(r.ties) == 0 {
+			r.best = i
+		}
+	}
+}
+
+// pickLowest returns the free server with the lowest score, or -1.
 func pickLowest(view *View, random *rand.Rand, score func(*View, int) float64) int {
-	best, ties, lowest := -1, 0, 0.0
-	for i := range view.Servers {
-		s := &view.Servers[i]
-		if !s.Free() {
-			continue
+	r := ranking{best: -1}
+	n := len(view.Servers)
+	if n > maxScan {
+		for range sampleSize {
+			r.offer(view, random, random.IntN(n), score)
 		}
-		value := score(view, i)
-		switch {
-		case best < 0 || value < lowest:
-			best, ties, lowest = i, 1, value
-		case value == lowest:
-			ties++
-			if random.IntN(ties) == 0 {
-				best = i
-			}
+		if r.best >= 0 {
+			return r.best
 		}
 	}
-	return best
+	for i := range n {
+		r.offer(view, random, i, score)
+	}
+	return r.best
 }
--- a/internal/bench/balance/command.go
+++ b/internal/bench/balance/command.go
@@ -23,6 +23,7 @@
 	Duration time.Duration `long:"duration" default:"30s" description:"measured time, virtual"`
 	Warmup   time.Duration `long:"warmup" default:"10s" description:"time before the measurement, virtual"`
 	Queue    int           `long:"queue" default:"8" description:"length of a server's queue"`
+	Believed int           `long:"believed-hosts" description:"number of hosts that each host believes in (default: the true one)"`
 	Seeds    int           `long:"seeds" default:"3" description:"runs per row, with seeds seed, seed+1, …"`
 	Seed     uint64        `long:"seed" default:"1" description:"first seed"`
 	Parallel int           `long:"parallel" default:"4" description:"runs at once"`
@@ -87,7 +88,7 @@
 						for _, policy := range policies {
 							out = append(out, Options{
 								Service: service, Policy: policy, Hosts: hosts, Load: load, Fault: fault, Flood: flood,
-								Duration: a.Duration, Warmup: a.Warmup, Queue: a.Queue,
+								Duration: a.Duration, Warmup: a.Warmup, Queue: a.Queue, Believed: a.Believed,
 							})
 						}
 					}
--- a/internal/bench/balance/run.go
+++ b/internal/bench/balance/run.go
@@ -21,16 +21,20 @@
 	Warmup   time.Duration
 	Seed     uint64
 	// Fault is one of Faults. It starts with the measurement and concerns the
-	// first server.
+	// first server, except for the outage: all servers freeze for 3 s, callers
+	// resend what fails, and the measurement begins 3 s after the end.
 	Fault string
 	// Flood adds one caller that alone offers this multiple of the capacity.
 	Flood float64
 	// Queue is the length of a server's queue, 8 if zero.
 	Queue int
+	// Believed is the number of live hosts that every host believes in, Hosts
+	// if zero.
+	Believed int
 }
 
 // Faults lists the values of Options.Fault.
-var Faults = []string{"none", "slow", "frozen", "cold", "lying", "shedding"}
+var Faults = []string{"none", "slow", "frozen", "cold", "lying", "shedding", "outage"}
 
 // Result holds the figures of one run. The flooding caller counts for goodput
 // and sheds only.
@@ -84,6 +88,10 @@
 	retryShare     = 0.1
 	zones          = 3
 	tail           = 6 * time.Second // longer than any deadline
+	outageTime     = 3 * time.Second
+	recoveryTime   = 3 * time.Second // the design's bound on unserved time
+	maxResends     = 2
+	resendAfter    = 200 * time.Millisecond
 )
 
 // Run performs one run. The same options give the same result.
@@ -97,7 +105,11 @@
 		s.offer(o.Flood, "flood")
 	}
 	s.report()
-	s.clock.at(o.Warmup, s.startFault)
+	if o.Fault == "outage" {
+		s.scheduleOutage()
+	} else {
+		s.clock.at(o.Warmup, s.startFault)
+	}
 	s.clock.runUntil(o.Warmup)
 	for _, m := range s.servers {
 		m.busy, m.sheds = 0, 0
@@ -121,6 +133,9 @@
 	if o.Queue == 0 {
 		o.Queue = 8
 	}
+	if o.Believed == 0 {
+		o.Believed = o.Hosts
+	}
 	s := &simulation{
 		options: o, workload: w, random: rand.New(rand.NewPCG(o.Seed, 1)),
 		byName:         map[topology.ServerName]*modelServer{},
@@ -144,7 +159,7 @@
 		}
 		h := &simHost{zone: zoneOf(i), armed: -1}
 		h.scheduler = admission.NewScheduler(config, rand.New(rand.NewPCG(o.Seed, uint64(i)+2)))
-		h.scheduler.SetHosts(0, i, o.Hosts)
+		h.scheduler.SetHosts(0, i%o.Believed, o.Believed)
 		s.hosts = append(s.hosts, h)
 	}
 	return s, nil
@@ -184,6 +199,7 @@
 	start    time.Duration
 	pinned   topology.ServerName
 	tried    []topology.ServerName
+	resends  int
 	measured bool
 }
 
@@ -232,6 +248,15 @@
 	if r.measured && r.caller != "flood" {
 		*counter++
 	}
+	if s.options.Fault == "outage" && r.resends < maxResends {
+		again := *r
+		again.resends++
+		again.tried = nil
+		s.clock.after(resendAfter, func() {
+			again.start, again.measured = s.clock.now, false
+			s.admit(s.hosts[s.random.IntN(len(s.hosts))], &again)
+		})
+	}
 }
 
 // inWindow tells whether now belongs to the measurement.
@@ -348,27 +373,6 @@
 	s.clock.after(reportInterval, s.report)
 }
 
-func (s *simulation) startFault() {
-	m := s.servers[0]
-	switch s.options.Fault {
-	case "slow":
-		m.factor = 10
-	case "frozen":
-		m.freeze()
-	case "lying":
-		m.lying = true
-		m.factor = 4
-	case "shedding":
-		m.limit, m.slots = 0, 0
-	case "cold":
-		m.coldTo = s.clock.now + 5*time.Second
-		for _, h := range s.hosts {
-			h.scheduler.SetState(s.clock.now, m.name, admission.ServerGone)
-			h.scheduler.SetState(s.clock.now, m.name, admission.ServerReady)
-		}
-	}
-}
-
 // perServer computes the figures of the servers at the end of the window.
 func (s *simulation) perServer() Result {
 	slotTime, sheds := 0.0, 0
