Keep control traffic flat in the number of hosts

Cause: every host got the load counts of all others once a second and health reports 1.4 times a second, also without news, so that the bytes per host grew with the number of hosts. Load counts now go only to relays and the leader, counts and reports without news are not published, reports count by who polls a server instead of by age, and an idle pull is held for 1.5 s instead of 1 s.

Also found: a host whose address was taken crashed in Stop instead of saying so. The kernel now stops only what started; a test guards it.

--- a/cmd/cassiasill-bench/main.go
+++ b/cmd/cassiasill-bench/main.go
@@ -21,6 +21,7 @@
 	return []subcommand{
 		{"placement", "Compare the planner with baselines on seeded loads", &placementCommand{}},
 		{"slopes", "Measure the planner's time and memory by servers and slices", &slopesCommand{}},
+		{"control", "Measure what a deployment costs without callers", &controlCommand{}},
 		{"routing", "Measure lookups and snapshot swaps", &routingCommand{}},
 	}
 }
--- /dev/null
+++ b/internal/bench/control/run.go
@@ -0,0 +1,197 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/host"
+	"github.com/cassiasill/cassiasill/internal/settings"
+	"github.com/cassiasill/cassiasill/internal/standin"
+	"github.com/cassiasill/cassiasill/internal/store/memory"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+// Options sets up one run.
+type Options struct {
+	Hosts   int
+	Servers int
+	// Zones is the number of availability zones.
+	Zones int
+	// Unchecked makes the servers not check fencing tokens, so that hosts
+	// confirm the age of their routes all the time.
+	Unchecked bool
+	Settle    time.Duration
+	Measure   time.Duration
+	Seed      uint64
+}
+
+// Result is what one run measured, per second of the measured time.
+type Result struct {
+	Hosts   int `json:"hosts"`
+	Servers int `json:"servers"`
+	// CPU is the processor time of the whole process, stand-ins included, per
+	// host, in percent of a core.
+	CPU float64 `json:"cpuPercentPerHost"`
+	// Heap is the live heap of the process per host in MB.
+	Heap float64 `json:"heapMBPerHost"`
+	// PeerBytes are the bytes per second that a host sends to peers.
+	PeerBytes    float64 `json:"peerBytesPerHost"`
+	PeerBytesMax float64 `json:"peerBytesMax"`
+	// HeartbeatBytes are the bytes per second that the leader sends to servers.
+	HeartbeatBytes float64 `json:"heartbeatBytes"`
+	StoreReads     float64 `json:"storeReads"`
+	StoreWrites    float64 `json:"storeWrites"`
+	Watches        int     `json:"watches"`
+}
+
+// Run measures one deployment without callers.
+func Run(ctx context.Context, o Options) (Result, error) {
+	store := memory.New()
+	defer store.Close()
+	var servers []*standin.Server
+	defer func() {
+		for _, s := range servers {
+			s.Close()
+		}
+	}()
+	base := settings.Default()
+	base.Deployment = "control"
+	service := settings.Service{Name: "keys", DividedByKey: true, Fencing: settings.FencingChecked, Slots: 2, Connections: 1000}
+	if o.Unchecked {
+		service.Fencing = settings.FencingUnchecked
+	}
+	for z := range o.Zones {
+		base.AvailabilityZones = append(base.AvailabilityZones, settings.AvailabilityZone{Name: zone(z)})
+	}
+	for i := range o.Servers {
+		name := topology.ServerName(fmt.Sprintf("keys-%d", i+1))
+		s := standin.NewServer(standin.ServerOptions{Name: name, Service: service.Name, DividedByKey: true, Slots: 2, Seed: o.Seed})
+		address, err := s.Listen("127.0.0.1:0")
+		if err != nil {
+			return Result{}, err
+		}
+		servers = append(servers, s)
+		service.Servers = append(service.Servers, topology.Server{Name: name, Service: service.Name, AvailabilityZone: zone(i % o.Zones), Address: address})
+	}
+	base.Services = []settings.Service{service}
+	var before runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	return measure(ctx, o, base, store, before.HeapAlloc)
+}
+
+func zone(i int) topology.AvailabilityZone {
+	return topology.AvailabilityZone(fmt.Sprintf("zone-%d", i))
+}
+
+// measure runs the hosts and counts.
+func measure(ctx context.Context, o Options, base *settings.Settings, store *memory.Store, heapBefore uint64) (Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	hosts := hostList(o)
+	peers := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		peers[h.PeerAddress] = true
+	}
+	counts := make([]*traffic, len(hosts))
+	for i, self := range hosts {
+		s := *base
+		s.Hosts = hosts
+		s.Host = settings.Host{Name: self.Name, AvailabilityZone: self.AvailabilityZone,
+			Addresses: settings.Addresses{Callers: "127.0.0.1:0", Admin: "127.0.0.1:0", Peer: self.PeerAddress}}
+		counts[i] = &traffic{}
+		h, err := host.New(host.Options{
+			Settings: &s, Log: zap.NewNop(), Seed: o.Seed + uint64(i), Store: store.Client(string(self.Name)),
+			Network: countedNetwork{counts[i], func(a string) bool { return peers[a] }},
+		})
+		if err != nil {
+			return Result{}, err
+		}
+		group.Go(func() { _ = h.Run(ctx, nil) })
+	}
+	if err := sleep(ctx, o.Settle); err != nil {
+		return Result{}, err
+	}
+	return window(ctx, o, store, counts, heapBefore)
+}
+
+// window counts over the measured time.
+func window(ctx context.Context, o Options, store *memory.Store, counts []*traffic, heapBefore uint64) (Result, error) {
+	storeBefore, cpuBefore, start := store.Counts(), cpuTime(), time.Now()
+	peersBefore, serversBefore := totals(counts)
+	if err := sleep(ctx, o.Measure); err != nil {
+		return Result{}, err
+	}
+	seconds := time.Since(start).Seconds()
+	cpu := (cpuTime() - cpuBefore).Seconds()
+	storeAfter := store.Counts()
+	peersAfter, serversAfter := totals(counts)
+	var heap runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&heap)
+	out := Result{Hosts: o.Hosts, Servers: o.Servers, Watches: storeAfter.OpenWatches}
+	out.StoreReads, out.StoreWrites = storeAfter.RatesSince(storeBefore)
+	out.CPU = 100 * cpu / seconds / float64(o.Hosts)
+	out.Heap = (float64(heap.HeapAlloc) - float64(heapBefore)) / 1e6 / float64(o.Hosts)
+	var rates []float64
+	for i := range peersAfter {
+		rates = append(rates, float64(peersAfter[i]-peersBefore[i])/seconds)
+		out.PeerBytes += rates[i] / float64(o.Hosts)
+		out.HeartbeatBytes = max(out.HeartbeatBytes, float64(serversAfter[i]-serversBefore[i])/seconds)
+	}
+	out.PeerBytesMax = slices.Max(rates)
+	return out, nil
+}
+
+func totals(counts []*traffic) (peers, servers []int64) {
+	for _, c := range counts {
+		peers = append(peers, c.peers.Load())
+		servers = append(servers, c.servers.Load())
+	}
+	return peers, servers
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// peerPort is the port of every host's peer address; each host has a loopback
+// address of its own.
+const peerPort = 19380
+
+// hostList spreads the hosts over the availability zones.
+func hostList(o Options) []topology.Host {
+	var out []topology.Host
+	for i := range o.Hosts {
+		out = append(out, topology.Host{
+			Name: topology.HostName(fmt.Sprintf("host-%d", i+1)), AvailabilityZone: zone(i % o.Zones),
+			PeerAddress: fmt.Sprintf("127.1.%d.%d:%d", i/250, i%250+1, peerPort),
+		})
+	}
+	return out
+}
--- a/internal/host/admin.go
+++ b/internal/host/admin.go
@@ -86,9 +86,6 @@
 
 // Stop closes the admin address and ends the collection of metrics.
 func (a *adminService) Stop(ctx context.Context) error {
-	if a.server == nil {
-		return nil
-	}
 	if err := a.server.Shutdown(ctx); err != nil {
 		return err
 	}
--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -175,9 +175,6 @@
 // and closes the connections.
 func (c *callersService) Stop(ctx context.Context) error {
 	c.draining.Store(true)
-	if c.server == nil {
-		return nil
-	}
 	timer := time.NewTimer(readinessDelay)
 	defer timer.Stop()
 	select {
--- a/internal/host/declarations.go
+++ b/internal/host/declarations.go
@@ -6,7 +6,6 @@
 	"github.com/cassiasill/cassiasill/internal/configsync"
 	"github.com/cassiasill/cassiasill/internal/declaration"
 	"github.com/cassiasill/cassiasill/internal/kernel"
-	"github.com/cassiasill/cassiasill/internal/peersync"
 	"github.com/cassiasill/cassiasill/internal/settings"
 )
 
@@ -20,9 +19,11 @@
 func newDeclarationsService(h *Host) *declarationsService {
 	d := &declarationsService{host: h}
 	inventory := inventoryOf(h.settings)
+	// The relays of each availability zone watch the store, so that watches do
+	// not grow with the hosts.
 	d.follower = configsync.NewFollower(configsync.FollowerConfig{
 		Host: h.settings.Host.Name, Store: h.options.Store, Bus: h.topics.replicator, Inventory: inventory,
-		Watching: d.watching, PeerHeard: h.topics.replicator.LastContact, Log: h.log,
+		Watching: h.isRelay, PeerHeard: h.topics.replicator.LastContact, Log: h.log,
 	})
 	d.writer = configsync.NewWriter(h.options.Store, inventory, d.follower.Install, h.log)
 	return d
@@ -37,13 +38,6 @@
 	return out
 }
 
-// watching reports whether this host keeps a watch on the store: the relays of
-// each availability zone do, so that watches do not grow with the hosts.
-func (d *declarationsService) watching() bool {
-	replicator := d.host.topics.replicator
-	return peersync.IsRelay(append(replicator.Live(), d.host.self()), d.host.self())
-}
-
 func (d *declarationsService) Name() string       { return serviceDeclarations }
 func (d *declarationsService) Requires() []string { return []string{serviceTopics} }
 
--- a/internal/host/health.go
+++ b/internal/host/health.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -27,8 +28,9 @@
 	// which a leaving upstream must get no new work.
 	healthInterval = 700 * time.Millisecond
 	healthTimeout  = 500 * time.Millisecond
-	// healthMaxAge is how long a peer's report counts.
-	healthMaxAge = 5 * time.Second
+	// healthRefresh is how often a report without news is published again, for
+	// hosts that missed it.
+	healthRefresh = time.Minute
 	// pollersPerServer bounds the polls of one server, however many hosts
 	// there are. Two survive the loss of a host.
 	pollersPerServer = 2
@@ -75,13 +77,17 @@
 func (s *healthService) poll(ctx context.Context) error {
 	ticker := time.NewTicker(healthInterval)
 	defer ticker.Stop()
-	name := s.host.settings.Host.Name
+	var last []byte
+	var publishedAt time.Time
 	for {
-		report := s.round(ctx)
-		if payload, err := json.Marshal(report); err != nil {
-			s.host.log.Error("health: report not encoded", zap.Error(err))
-		} else if len(report) > 0 {
-			peersync.PublishOwn(s.host.topics.replicator, healthTopicPrefix+string(name), time.Now(), payload)
+		payload, err := json.Marshal(s.round(ctx))
+		if err != nil {
+			return err
+		}
+		if !bytes.Equal(payload, last) || time.Since(publishedAt) >= healthRefresh {
+			last, publishedAt = payload, time.Now()
+			topic := healthTopicPrefix + string(s.host.settings.Host.Name)
+			peersync.PublishOwn(s.host.topics.replicator, topic, publishedAt, payload)
 		}
 		select {
 		case <-ctx.Done():
@@ -170,25 +176,27 @@
 func (s *healthService) applyOnce(seen map[string]healthSeen) {
 	now := time.Now()
 	leaving := make(map[topology.ServerName]bool)
+	hosts := s.host.keeper.liveHosts()
 	for _, topic := range s.host.topics.replicator.List(healthTopicPrefix) {
 		if seen[topic.Name].version != topic.Version {
 			seen[topic.Name] = healthSeen{topic.Version, now}
 		}
-		age := now.Sub(seen[topic.Name].at)
-		if age > healthMaxAge {
-			continue
-		}
+		from := topology.HostName(strings.TrimPrefix(topic.Name, healthTopicPrefix))
 		var report healthReport
 		if err := json.Unmarshal(topic.Payload, &report); err != nil {
-			s.host.log.Error("health: a host's report not decoded",
-				zap.String("from", strings.TrimPrefix(topic.Name, healthTopicPrefix)), zap.Error(err))
+			s.host.log.Error("health: a host's report not decoded", zap.String("from", string(from)), zap.Error(err))
 			continue
 		}
 		for service, servers := range report {
 			for name, health := range servers {
+				// Only the present pollers count: the report of a host that
+				// was lost or no longer polls the server is out of date.
+				if !slices.Contains(pollers(hosts, name), from) {
+					continue
+				}
 				leaving[name] = leaving[name] || health.Leaving
 				s.host.callers.admission.Observe(service, admission.Report{
-					Server: name, InFlight: float64(health.Running + health.Queued), Age: age,
+					Server: name, InFlight: float64(health.Running + health.Queued), Age: now.Sub(seen[topic.Name].at),
 				})
 			}
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -11,6 +11,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/hostlist"
 	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/peersync"
 	"github.com/cassiasill/cassiasill/internal/settings"
 	"github.com/cassiasill/cassiasill/internal/store"
 	"github.com/cassiasill/cassiasill/internal/store/gateway"
@@ -147,6 +148,11 @@
 	return topology.Host{Name: s.Name, AvailabilityZone: s.AvailabilityZone, PeerAddress: s.Addresses.Peer}
 }
 
+// isRelay reports whether this host is a relay of its availability zone.
+func (h *Host) isRelay() bool {
+	return peersync.IsRelay(append(h.topics.replicator.Live(), h.self()), h.self())
+}
+
 // lister returns the list of hosts.
 func (h *Host) lister() hostlist.Lister { return hostlist.Static(h.settings.Hosts) }
 
--- a/internal/host/loads.go
+++ b/internal/host/loads.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"bytes"
 	"context"
 	"strings"
 	"time"
@@ -28,10 +29,13 @@
 type loadsService struct {
 	host     *Host
 	counters map[topology.ServiceName]*sketch.Counter
+	// published holds what was published last; counts that did not change,
+	// such as those of an idle service, are not published again.
+	published map[topology.ServiceName][]byte
 }
 
 func newLoadsService(h *Host) *loadsService {
-	l := &loadsService{host: h, counters: make(map[topology.ServiceName]*sketch.Counter)}
+	l := &loadsService{host: h, counters: make(map[topology.ServiceName]*sketch.Counter), published: make(map[topology.ServiceName][]byte)}
 	for _, s := range h.settings.Services {
 		if s.DividedByKey {
 			l.counters[s.Name] = sketch.NewCounter(sketch.DefaultConfig(), time.Now())
@@ -75,6 +79,10 @@
 			l.host.log.Error("placement: counts not encoded", zap.Error(err))
 			continue
 		}
+		if bytes.Equal(payload, l.published[service]) {
+			continue
+		}
+		l.published[service] = payload
 		peersync.PublishOwn(l.host.topics.replicator, loadTopic(service, l.host.settings.Host.Name), now, payload)
 	}
 }
--- a/internal/host/topics.go
+++ b/internal/host/topics.go
@@ -32,8 +32,9 @@
 
 const (
 	// checkedWait is how long a pull is held open when all servers check
-	// fencing tokens: routes then need no confirmed age.
-	checkedWait = time.Second
+	// fencing tokens: routes then need no confirmed age. It is half of the time
+	// after which a host that hears no peer stops serving.
+	checkedWait = 1500 * time.Millisecond
 	// uncheckedWait keeps the age of routes, which adds up over three pulls,
 	// well below topology.SnapshotValidity.
 	uncheckedWait = 75 * time.Millisecond
@@ -65,11 +66,21 @@
 	t.client = peer.NewClient(h.options.Network.Dial, clientTLS)
 	t.replicator = peersync.NewReplicator(peersync.Options{
 		Self: h.self(), Hosts: func() []topology.Host { return h.settings.Hosts },
-		Wait: syncWait(h.settings), Puller: t.client, Log: h.log,
+		Wait: syncWait(h.settings), Puller: t.client, Log: h.log, Exclude: t.unneeded,
 	})
 	return t, nil
 }
 
+// unneeded returns the topics that only the leader reads: relays pass them on
+// and the other hosts do without, or their traffic would grow with the square
+// of the number of hosts.
+func (t *topicsService) unneeded() []string {
+	if _, _, leads := t.host.leader.elector.Authority(time.Now()); leads || t.host.isRelay() {
+		return nil
+	}
+	return []string{loadTopicPrefix}
+}
+
 func syncWait(s *settings.Settings) time.Duration {
 	for _, service := range s.Services {
 		if service.DividedByKey && service.Fencing == settings.FencingUnchecked {
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -20,7 +20,8 @@
 	// Requires lists the services that must be started before.
 	Requires() []string
 	// Start returns when the service is ready. Work that goes on runs through
-	// Registry.Go and ends when its context does.
+	// Registry.Go and ends when its context does. A service whose Start fails
+	// cleans up itself: it is not stopped.
 	Start(ctx context.Context, registry *Registry) error
 	// Stop finishes what is in progress before ctx ends.
 	Stop(ctx context.Context) error
@@ -137,7 +138,7 @@
 	for i, service := range ordered {
 		registry.services[service.Name()] = service
 		if err := service.Start(ctx, registry); err != nil {
-			return ordered[:i+1], &Error{Service: service.Name(), Step: "start", Err: err}
+			return ordered[:i], &Error{Service: service.Name(), Step: "start", Err: err}
 		}
 		k.log.Debug("kernel: service started", zap.String("service", service.Name()))
 	}
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -16,6 +16,7 @@
 	requires []string
 	events   *[]string
 	work     func(context.Context) error
+	fail     error
 }
 
 func (r *recorder) Name() string       { return r.name }
@@ -23,6 +24,9 @@
 
 func (r *recorder) Start(_ context.Context, registry *Registry) error {
 	*r.events = append(*r.events, "start "+r.name)
+	if r.fail != nil {
+		return r.fail
+	}
 	if r.work != nil {
 		registry.Go(r.name, r.work)
 	}
@@ -66,6 +70,16 @@
 	}
 }
 
+// Guards against stopping what never started: a host whose address was taken
+// crashed instead of saying so.
+func TestRunStopsOnlyWhatStarted(t *testing.T) {
+	var events []string
+	taken := errors.New("address in use")
+	k := New(zap.NewNop(), time.Second, &recorder{name: "one", events: &events}, &recorder{name: "two", events: &events, fail: taken})
+	assert.ErrorIs(t, k.Run(t.Context(), nil), taken)
+	assert.DeepEqual(t, events, []string{"start one", "start two", "stop one"})
+}
+
 // Guards against a settings mistake that only shows while running.
 func TestOrderRejectsUnknownDoubleAndCircular(t *testing.T) {
 	var events []string
