--- a/internal/leadership/maintain.go
+++ b/internal/leadership/maintain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/peer/peerpb"
@@ -26,8 +27,8 @@
 	replaceAfter = 30 * time.Second
 	// replaceInterval paces the changes of the record.
 	replaceInterval = time.Second
-	// maxAdditions bounds how many hosts are asked in one step.
-	maxAdditions = 4
+	// maxAsked bounds how many hosts are asked whether they could be added.
+	maxAsked = 64
 )
 
 // maintain learns the witness record, creates it in a new deployment, and as
@@ -194,27 +195,39 @@
 // chooseNext returns the next record. A host is added only if it answers: the
 // list of hosts lags, and the host just removed may still be on it.
 func (e *Elector) chooseNext(ctx context.Context, record Record, hosts []topology.Host) (Record, bool) {
-	silent := make(map[topology.HostName]bool)
-	for range maxAdditions {
-		now := time.Now()
-		e.mu.Lock()
-		next, ok := nextRecord(record, hosts, func(h topology.HostName) bool {
-			return silent[h] || record.Names(h) && h != e.self && e.candidate.gone(now, e.ledSince, h, replaceAfter)
-		})
-		e.mu.Unlock()
-		if !ok || len(next.Hosts) < len(record.Hosts) {
-			return next, ok
+	var mu sync.Mutex
+	answered := make(map[topology.HostName]bool)
+	gone := func(h topology.HostName) bool {
+		if !record.Names(h) {
+			return !answered[h]
 		}
-		added := next.Hosts[len(next.Hosts)-1]
-		asking, cancel := context.WithTimeout(ctx, callTimeout/2)
-		_, err := e.transport.Promise(asking, added, &peerpb.PromiseRequest{Candidate: string(e.self)})
-		cancel()
-		if err == nil {
-			return next, true
+		return h != e.self && e.candidate.gone(time.Now(), e.ledSince, h, replaceAfter)
+	}
+	e.mu.Lock()
+	complete := len(record.Hosts) >= wantedWitnesses(len(hosts)) && !slices.ContainsFunc(record.Hosts, gone)
+	e.mu.Unlock()
+	if complete {
+		return Record{}, false
+	}
+	asking, cancel := context.WithTimeout(ctx, callTimeout/2)
+	defer cancel()
+	group := pool.New().WithMaxGoroutines(maxAsked)
+	for _, h := range hosts[:min(len(hosts), maxAsked)] {
+		if record.Names(h.Name) {
+			continue
 		}
-		silent[added] = true
+		group.Go(func() {
+			if _, err := e.transport.Promise(asking, h.Name, &peerpb.PromiseRequest{Candidate: string(e.self)}); err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				answered[h.Name] = true
+			}
+		})
 	}
-	return Record{}, false
+	group.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return nextRecord(record, hosts, gone)
 }
 
 // seal sends record to hosts and reports whether a majority of the previous
