--- a/internal/proxy/fakes_test.go
+++ b/internal/proxy/fakes_test.go
@@ -205,15 +205,28 @@
 }
 
 // raw reads a request and answers with the text; ID stands for its id.
-func raw(text string) step {
+func raw(text string) step { return then(readOnly, write(text)) }
+
+// write answers the request that was read.
+func write(text string) step {
 	return func(c *call) {
-		if c.read() {
+		if c.r != nil {
 			text := strings.ReplaceAll(text, "ID", "Cassiasill-Request-Id: "+c.r.Header.Get("Cassiasill-Request-Id"))
 			_, _ = io.WriteString(c.conn, strings.ReplaceAll(text, "\n", "\r\n"))
 		}
 	}
 }
 
+// forget takes back that the request was executed.
+func forget(c *call) {
+	c.up.mu.Lock()
+	defer c.up.mu.Unlock()
+	c.up.calls = slices.DeleteFunc(c.up.calls, func(other *call) bool { return other == c })
+}
+
+// refuse rejects a request without executing it.
+func refuse(text string) step { return then(readOnly, forget, write(text)) }
+
 // then runs steps one after the other on the same request.
 func then(steps ...step) step {
 	return func(c *call) {
@@ -227,16 +240,6 @@
 func reset(c *call)    { c.reset() }
 func crash(c *call)    { c.up.crash() }
 
-// refuse rejects a request without counting it as executed.
-func refuse(text string) step {
-	return func(c *call) {
-		raw(text)(c)
-		c.up.mu.Lock()
-		defer c.up.mu.Unlock()
-		c.up.calls = c.up.calls[:len(c.up.calls)-1]
-	}
-}
-
 // readBytes reads n bytes of a request.
 func readBytes(n int64) step {
 	return func(c *call) { _, _ = io.CopyN(io.Discard, c.in, n) }
--- a/internal/proxy/fault_test.go
+++ b/internal/proxy/fault_test.go
@@ -201,8 +201,7 @@
 	up := newFake(t, func(c *call) {
 		c.read()
 		<-release
-		raw("")(c)
-		_, _ = io.WriteString(c.conn, "HTTP/1.1 200 OK\r\nCassiasill-Request-Id: "+c.r.Header.Get("Cassiasill-Request-Id")+"\r\nContent-Length: 4\r\n\r\nlate")
+		write("HTTP/1.1 200 OK\nID\nContent-Length: 4\n\nlate")(c)
 	}, ok("mine"))
 	h := newHarness(t, func(o *Options) { o.Limits.Connections = 1 }, up)
 	answer, body, err := h.do(t, "POST", "/free/book", nil, "Cassiasill-Timeout-Millis", "50")
--- a/internal/proxy/guard_test.go
+++ b/internal/proxy/guard_test.go
@@ -26,10 +26,7 @@
 		case c.r.Header.Get("X-Caller") == "bad":
 			s(c)
 		default:
-			c.up.mu.Lock()
-			c.up.calls = c.up.calls[:len(c.up.calls)-1]
-			c.up.mu.Unlock()
-			fmt.Fprintf(c.conn, "HTTP/1.1 204 OK\r\nCassiasill-Request-Id: %s\r\n\r\n", c.r.Header.Get("Cassiasill-Request-Id"))
+			then(forget, write("HTTP/1.1 204 OK\nID\n\n"))(c)
 		}
 	}
 }
