Check the owner again right before the first byte is sent

Opening a connection takes time in which a key can move; servers that don't check fencing tokens would have executed the request. Also streamed uploads clear their read deadline at their end, which had counted as a caller that left.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -70,6 +70,9 @@
 	}
 	ctx, cancel := context.WithCancel(q.ctx)
 	x := &exchange{abort: cancel}
+	if q.service.Keyed {
+		x.owned = func() bool { return q.handler.options.Resolver.Owner(q.service.Name, q.position) == owner }
+	}
 	body := q.body.open(q)
 	response, err := u.transport.RoundTrip(q.outgoing(x.trace(ctx), u, owner, body, p))
 	if err != nil {
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -137,8 +137,13 @@
 	}
 	a.body.consumed = true
 	a.body.mu.Unlock()
-	_ = http.NewResponseController(a.request.w).SetReadDeadline(time.Now().Add(a.request.handler.limits.StallTime))
+	control := http.NewResponseController(a.request.w)
+	_ = control.SetReadDeadline(time.Now().Add(a.request.handler.limits.StallTime)) // not supported outside of a server
 	n, err := a.request.r.Body.Read(p)
+	if err == io.EOF {
+		// net/http goes on reading to notice a caller that leaves.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	a.total += int64(n)
 	if a.total > a.request.handler.limits.RequestBytes {
 		err = errBodyTooLarge
--- a/internal/proxy/fault_test.go
+++ b/internal/proxy/fault_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/cassiasill/cassiasill/internal/admission"
@@ -119,28 +121,96 @@
 }
 
 // Guards against retries of what may be repeated that don't happen, are not
-// bounded by the budget, or go to the same upstream.
-func TestLookupIsRetriedElsewhereWithinBudget(t *testing.T) {
-	for _, c := range []struct {
-		warm int
-		want string
-	}{{0, "unknown"}, {12, ""}} {
-		bad := newFake(t, ok("first"))
-		good := newFake(t, ok("second"))
-		h := newHarness(t, nil, bad, good)
-		for range c.warm {
-			_, body, err := h.do(t, "GET", "/free/doc", nil)
+// bounded by the budget or go to the same upstream, against a booking that is
+// sent again, and against a report that forgets an earlier attempt.
+func TestRetryElsewhere(t *testing.T) {
+	broken := then(readOnly, reset)
+	cases := []struct {
+		name, method  string
+		warm          int // requests that fill the budget
+		first, second step
+		executed      string // empty: the second upstream's answer is passed on
+		executions    int
+	}{
+		{"lookup without budget", "GET", 0, broken, ok("second"), "unknown", 1},
+		{"lookup", "GET", 12, broken, ok("second"), "", 2},
+		{"lookup, then shed", "GET", 12, broken, refuse(shedAnswer), "unknown", 1},
+		{"lookup, then unreached", "GET", 12, broken, nil, "unknown", 1},
+		{"lookup, answer cut off", "GET", 12, then(raw(halfAnswer), reset), ok("second"), "", 2},
+		{"booking", "POST", 12, broken, ok("second"), "unknown", 1},
+		{"booking shed", "POST", 120, refuse(shedAnswer), ok("second"), "", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			bad, other := newFake(t, ok("first")), newFake(t, c.second)
+			h := newHarness(t, nil, bad, other)
+			for range c.warm {
+				_, body, err := h.do(t, "GET", "/free/doc", nil)
+				assert.NilError(t, err)
+				assert.Equal(t, body, "first")
+			}
+			if c.second == nil {
+				other.crash()
+			}
+			bad.mu.Lock()
+			bad.steps, bad.next, bad.calls = []step{c.first}, 0, nil
+			bad.mu.Unlock()
+			answer, body, err := h.do(t, c.method, "/free/doc", nil)
 			assert.NilError(t, err)
-			assert.Equal(t, body, "first")
+			assert.Equal(t, answer.Header.Get(apierror.HeaderExecuted), c.executed)
+			assert.Equal(t, body == "second", c.executed == "")
+			assert.Equal(t, bad.executions()+other.executions(), c.executions)
+			h.drained(t)
+		})
+	}
+}
+
+// Guards against answers without a body that are held for broken, or that lose
+// the length they announce.
+func TestAnswersWithoutBody(t *testing.T) {
+	for _, c := range []struct{ method, answer, length string }{
+		{"HEAD", "HTTP/1.1 200 OK\nID\nContent-Length: 10\n\n", "10"},
+		{"HEAD", "HTTP/1.1 200 OK\nID\n\n", ""},
+		{"GET", "HTTP/1.1 204 OK\nID\n\n", ""},
+		{"GET", "HTTP/1.1 304 OK\nID\nETag: \"1\"\n\n", ""},
+		{"GET", "HTTP/1.1 200 OK\nID\nContent-Length: 0\n\n", "0"},
+		{"GET", "HTTP/1.1 103 Hint\nLink: x\n\nHTTP/1.1 200 OK\nID\nTransfer-Encoding: chunked\n\n0\n\n", "0"},
+	} {
+		up := newFake(t, raw(c.answer))
+		h := newHarness(t, nil, up)
+		for range 2 {
+			answer, body, err := h.do(t, c.method, "/free/doc", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, body, "")
+			assert.Equal(t, answer.Header.Get("Content-Length"), c.length, c.answer)
 		}
-		bad.mu.Lock()
-		bad.steps, bad.next = []step{then(readOnly, reset)}, 0
-		bad.mu.Unlock()
-		answer, body, err := h.do(t, "GET", "/free/doc", nil)
+		up.mu.Lock()
+		assert.Equal(t, up.accepted, 1, "the connection was not used again")
+		up.mu.Unlock()
+	}
+}
+
+// Guards against secrets or bodies in the log, and against attempts that leave
+// no line.
+func TestLogOfRouting(t *testing.T) {
+	core, logs := observer.New(zap.DebugLevel)
+	up := newFake(t, refuse(shedAnswer), ok("answer-secret"))
+	h := newHarness(t, func(o *Options) { o.Logger = zap.New(core) }, up)
+	for range 2 {
+		_, _, err := h.do(t, "POST", "/free/book?token=query-secret", strings.NewReader("body-secret"),
+			"Authorization", "header-secret", "Idempotency-Key", "key-secret")
 		assert.NilError(t, err)
-		assert.Equal(t, answer.Header.Get(apierror.HeaderExecuted), c.want)
-		assert.Equal(t, body == "second", c.want == "")
 	}
+	h.drained(t)
+	routed := 0
+	for _, entry := range logs.All() {
+		assert.Assert(t, strings.HasPrefix(entry.Message, "proxy: "), entry.Message)
+		assert.Assert(t, !strings.Contains(fmt.Sprint(entry.ContextMap()), "secret"), "%v", entry)
+		if entry.Message == "proxy: request routed" {
+			routed++
+		}
+	}
+	assert.Equal(t, routed, 2)
 }
 
 // Guards against a booking that fails though its upstream was never reached and
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -185,7 +185,7 @@
 		q.service.budget.Shed(now)
 	}
 	switch {
-	case q.ctx.Err() != nil, f.kind == apierror.KindBadRequest, f.kind == apierror.KindUpstreamAnswer:
+	case q.ctx.Err() != nil, f.kind == apierror.KindBadRequest, f.kind == apierror.KindTooLarge, f.kind == apierror.KindUpstreamAnswer:
 		return err
 	case !f.seen.NotExecuted() && !q.route.Repeatable, !q.body.replayable():
 		return err
--- a/internal/proxy/seen.go
+++ b/internal/proxy/seen.go
@@ -76,6 +76,8 @@
 		}
 	case cause != nil:
 		f.kind, f.broken = apierror.KindCanceled, false
+	case errors.Is(bodyErr, errBodyTooLarge):
+		f.kind, f.broken, f.err = apierror.KindTooLarge, false, bodyErr
 	case bodyErr != nil:
 		f.kind, f.broken, f.err = apierror.KindBadRequest, false, bodyErr
 	}
@@ -91,7 +93,7 @@
 		return admission.OutcomeOK
 	case f.kind == apierror.KindTimeout || f.kind == apierror.KindDeadline:
 		return admission.OutcomeTimeout
-	case f.kind == apierror.KindCanceled || f.kind == apierror.KindBadRequest:
+	case f.kind == apierror.KindCanceled || f.kind == apierror.KindBadRequest || f.kind == apierror.KindTooLarge:
 		return admission.OutcomeCanceled
 	}
 	return admission.OutcomeFailed
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -147,6 +147,11 @@
 // is classified by what the upstream can have seen.
 type exchange struct {
 	abort context.CancelFunc
+	// owned reports whether the request may still go to this server; nil if
+	// the service is not divided by key. It is asked right before the first
+	// byte is written, because opening a connection takes time in which the
+	// key can move.
+	owned func() bool
 
 	mu        sync.Mutex
 	connected int  // connections obtained
@@ -196,6 +201,11 @@
 func (x *exchange) startWrite() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if !x.sealed && x.written == 0 && x.owned != nil && !x.owned() {
+		x.sealed = true
+		// Without this, net/http would try its other connections as well.
+		x.abort()
+	}
 	if x.sealed {
 		return false
 	}
--- a/internal/proxy/wait_test.go
+++ b/internal/proxy/wait_test.go
@@ -33,6 +33,8 @@
 	// answers replaces a server's answer, or with "refused" its connections.
 	answers map[string]string
 	stall   bool
+	// dialTime is how long a connection takes to open.
+	dialTime time.Duration
 }
 
 func newVirtual(t *testing.T, limits Limits) *virtual {
@@ -46,6 +48,7 @@
 			if v.answer(name) == "refused" {
 				return nil, syscall.ECONNREFUSED
 			}
+			time.Sleep(v.dialTime)
 			near, far := net.Pipe()
 			go v.serveConn(name, far)
 			return near, nil
@@ -145,6 +148,15 @@
 			v.setAnswer("s0", "refused")
 			time.AfterFunc(1900*time.Millisecond, func() { v.routes.set(served("s1", 2)) })
 		}, nil, "200", 1900 * time.Millisecond, 1900 * time.Millisecond, "s1 7.2 8100"},
+		{"key moves while the connection opens", func(v *virtual) {
+			v.dialTime = second / 5
+			time.AfterFunc(second/10, func() { v.routes.set(routing.Owner{State: routing.StateWaiting}) })
+			time.AfterFunc(second, func() { v.routes.set(served("s1", 2)) })
+		}, nil, "200", second, 6 * second / 5, "s1 7.2 9000"},
+		{"token changes while the connection opens", func(v *virtual) {
+			v.dialTime = second / 5
+			time.AfterFunc(second/10, func() { v.routes.set(served("s0", 2)) })
+		}, nil, "200", second / 5, second, "s0 7.2 9800"},
 		{"owner is lost for good", func(v *virtual) { v.setAnswer("s0", "refused") }, nil, "502 upstream-refused no", 3 * second, 3 * second, ""},
 		{"upstream is too slow", func(v *virtual) { v.stall = true }, nil, "504 timeout unknown", 10 * second, 10 * second, "s0 7.1 10000"},
 		{"longest deadline", func(v *virtual) { v.stall = true }, []string{headerTimeout, "3600000"},
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -191,7 +191,8 @@
 	}
 	i := slices.IndexFunc(fl.servers, func(s serverCount) bool { return s.name == server })
 	if i < 0 && len(fl.servers) == MaxServers {
-		return Decision{Verdict: Elsewhere, Server: fl.servers[0].name, Changed: t.changed}
+		least := slices.MinFunc(fl.servers, func(a, b serverCount) int { return cmp.Compare(a.attempts, b.attempts) })
+		return Decision{Verdict: Elsewhere, Server: least.name, Changed: t.changed}
 	}
 	if i < 0 {
 		fl.servers = append(fl.servers, serverCount{name: server})
