--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -130,7 +130,8 @@
 	q.handler.metrics.Attempt(q.service.Name, server, seen, latency)
 	if entry := q.handler.log.Check(zap.InfoLevel, "proxy: request routed"); entry != nil {
 		entry.Write(zap.String("request", q.id), zap.String("service", string(q.service.Name)),
-			zap.String("server", string(server)), zap.Stringer("token", owner.Token), zap.Int("attempt", q.attempts),
+			zap.String("server", string(server)), zap.Stringer("token", owner.Token),
+			zap.Uint64("position", uint64(q.position)), zap.Int("attempt", q.attempts),
 			zap.Stringer("seen", seen), zap.Duration("latency", latency), zap.NamedError("cause", err))
 	}
 }
