Hold back bytes that follow an answer's end

net/http printed such bytes to the standard logger and could take them for the next answer. A parser of the framing now ends an answer in chunks or without a body as strictly as one with a length.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -80,7 +80,12 @@
 		body.stop()
 		return nil, failed(q.ctx, x, err, q.body.failure())
 	}
-	a := &answer{response: response, exchange: x, cancel: cancel, ticket: ticket, owner: owner, upstream: u}
+	a := &answer{response: response, exchange: x, cancel: cancel, ticket: ticket, owner: owner, upstream: u, length: response.ContentLength}
+	if !hasBody(q.r.Method, response.StatusCode) {
+		a.length = 0
+	}
+	a.left = a.length
+	x.expect(a.length)
 	if f := q.inspect(a, p); f != nil {
 		cancel()
 		body.stop()
@@ -157,12 +162,7 @@
 // readHead reads a small answer whole, and of others what has arrived.
 func (q *request) readHead(a *answer) *failure {
 	a.buffer = buffers.Get().(*[headBytes]byte)
-	a.length = a.response.ContentLength
-	if !hasBody(q.r.Method, a.response.StatusCode) {
-		a.length = 0
-	}
-	a.left = a.length
-	small := a.left >= 0 && a.left <= headBytes
+	small := a.length >= 0 && a.length <= headBytes
 	n, err := a.read(a.buffer[:])
 	for small && err == nil {
 		var k int
@@ -172,8 +172,8 @@
 	a.head = a.buffer[:n]
 	a.whole = err == io.EOF
 	switch {
-	case errors.Is(err, errTooLong):
-		return invalid("%w", err)
+	case a.exchange.tooLong():
+		return invalid("%w", errTooLong)
 	case err != nil && err != io.EOF:
 		f := failed(q.ctx, a.exchange, err, q.body.failure())
 		f.seen = SeenUnknown
@@ -182,33 +182,24 @@
 	return nil
 }
 
-var errTooLong = errors.New("the answer is longer than announced")
-
-// read reads the next bytes of the body. Before it takes the last one, after
-// which net/http would use the connection again, it checks that no more bytes
-// than announced have arrived. The byte before the last is read by itself: it
-// passes through net/http's buffer, which then also takes in what follows.
+// read reads the next bytes of the body. The last byte is read by itself: it
+// passes through net/http's buffer, which takes in what follows as well, so
+// that an answer that is too long fails before its last byte is passed on.
 func (a *answer) read(p []byte) (int, error) {
-	n := 0
-	for {
-		next := p[n:]
-		switch {
-		case a.left > 2:
-			next = next[:min(int64(len(next)), a.left-2)]
-		case a.left == 2:
-			next = next[:1]
-		case a.left >= 0 && a.exchange.excess(a.length) > 0:
-			return n, errTooLong
-		}
-		k, err := a.response.Body.Read(next)
-		n += k
-		if a.left >= 0 {
-			a.left -= int64(k)
-		}
-		if err != nil || a.left < 0 || a.left > 2 || n == len(p) {
-			return n, err
-		}
+	next := p
+	if a.left > 1 {
+		next = p[:min(int64(len(p)), a.left-1)]
+	}
+	n, err := a.response.Body.Read(next)
+	if a.left > 0 {
+		a.left -= int64(n)
+	}
+	if err != nil || a.left != 1 || n == len(p) {
+		return n, err
 	}
+	k, err := a.response.Body.Read(p[n : n+1])
+	a.left -= int64(k)
+	return n + k, err
 }
 
 func invalid(format string, args ...any) *failure {
--- a/internal/proxy/fault_test.go
+++ b/internal/proxy/fault_test.go
@@ -57,6 +57,8 @@
 		{"closed within the answer's header", then(raw("HTTP/1.1 200 OK\nCont"), reset), "b", "upstream-failed", "unknown", 1},
 		{"closed within the answer's body", then(raw(halfAnswer), func(c *call) { c.conn.Close() }), "b", "upstream-failed", "unknown", 1},
 		{"answer too long", raw(longAnswer), "b", "upstream-answer-invalid", "unknown", 1},
+		{"chunks too long", raw("HTTP/1.1 200 OK\nID\nTransfer-Encoding: chunked\n\n4\ndone\n0\n\nmore"), "b", "upstream-answer-invalid", "unknown", 1},
+		{"empty answer too long", raw("HTTP/1.1 204 OK\nID\n\nHTTP/1.1 200 OK\n\n"), "b", "upstream-answer-invalid", "unknown", 1},
 		{"answer without end", then(raw(openAnswer), func(c *call) { c.conn.Close() }), "b", "upstream-answer-invalid", "unknown", 1},
 		{"answer to another request", raw(otherAnswer), "b", "upstream-answer-invalid", "unknown", 1},
 		{"answer without id", raw("HTTP/1.1 200 OK\nContent-Length: 0\n\n"), "b", "upstream-answer-invalid", "unknown", 1},
--- a/internal/proxy/framing_test.go
+++ b/internal/proxy/framing_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // Guards against a request that the handler and an upstream frame differently,
@@ -82,3 +83,38 @@
 		})
 	}
 }
+
+// Guards against an end of an answer that is found too early, which breaks
+// whole answers, or too late, which lets another answer's bytes through,
+// however the bytes are split on their way.
+func TestFrameFindsEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		header := "HTTP/1.1 200 OK\r\nA: b\r\n\r\n"
+		var body strings.Builder
+		length := int64(-1)
+		if rapid.Bool().Draw(t, "chunks") {
+			for _, size := range rapid.SliceOfN(rapid.IntRange(1, 40), 0, 4).Draw(t, "sizes") {
+				fmt.Fprintf(&body, rapid.SampledFrom([]string{"%x\r\n", "%X;a=b\r\n", "00%x\r\n"}).Draw(t, "line"), size)
+				body.WriteString(strings.Repeat("\n", size) + "\r\n")
+			}
+			body.WriteString("0\r\n" + rapid.SampledFrom([]string{"", "T: 1\r\n", "T: 1\r\nU: 2\r\n"}).Draw(t, "trailer") + "\r\n")
+		} else {
+			length = rapid.Int64Range(0, 60).Draw(t, "length")
+			body.WriteString(strings.Repeat("x", int(length)))
+		}
+		extra := rapid.SampledFrom([]string{"", "x", "\r\n", "HTTP/1.1 200 OK\r\n"}).Draw(t, "extra")
+		var f frame
+		n, err := f.take([]byte(header + "x"))
+		assert.NilError(t, err)
+		assert.Equal(t, n, len(header))
+		f.held = false // the byte after the header was only there to be held back
+		f.expect(length)
+		for left := body.String() + extra; left != "" && err == nil; {
+			n = rapid.IntRange(1, len(left)).Draw(t, "split")
+			_, err = f.take([]byte(left[:n]))
+			left = left[n:]
+		}
+		assert.Equal(t, err != nil, extra != "", "body %q", body.String())
+		assert.Equal(t, f.state, frameDone)
+	})
+}
--- /dev/null
+++ b/internal/proxy/main_test.go
@@ -0,0 +1,16 @@
+package proxy
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of rapid, so that every run checks the same inputs;
+// -rapid.seed on the command line replaces it. A failure prints its input.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "2026"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- a/internal/proxy/seen.go
+++ b/internal/proxy/seen.go
@@ -57,7 +57,7 @@
 // failed classifies the error of a round trip. It ends the attempt: what has
 // not been sent by now never will be.
 func failed(ctx context.Context, x *exchange, err error, bodyErr error) *failure {
-	connected, sent, _ := x.seal()
+	connected, sent := x.seal()
 	f := &failure{err: err, at: time.Now()}
 	switch {
 	case !connected:
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -161,9 +161,9 @@
 		case err == io.EOF:
 			q.end(a, admission.OutcomeOK)
 			return nil
-		case errors.Is(err, errTooLong):
+		case err != nil && a.exchange.tooLong():
 			q.end(a, admission.OutcomeFailed)
-			return invalid("%w", err).answer(a.upstream.server.Name)
+			return invalid("%w", errTooLong).answer(a.upstream.server.Name)
 		case err != nil:
 			if a, err = q.resume(a, p, err); err != nil {
 				return err
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -94,6 +95,8 @@
 	upstream *upstream
 	opened   time.Time
 
+	pending []byte // received, but not yet passed on
+
 	mu      sync.Mutex
 	current *exchange
 }
@@ -125,16 +128,33 @@
 	return n, err
 }
 
+// Read passes on the bytes of the current answer only. net/http never calls it
+// concurrently.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		if x := c.exchange(); x != nil {
-			x.read(p[:n])
-		}
-	}
-	if err != nil {
+	var n int
+	var err error
+	if len(c.pending) > 0 {
+		n = copy(p, c.pending)
+		c.pending = c.pending[n:]
+	} else if n, err = c.Conn.Read(p); err != nil {
 		c.upstream.drop(c, !errors.Is(err, net.ErrClosed))
 	}
+	if n == 0 {
+		return 0, err
+	}
+	x := c.exchange()
+	if x == nil {
+		return 0, errTooLong // an answer before any request
+	}
+	k, frameErr := x.take(p[:n])
+	if frameErr != nil {
+		return 0, frameErr
+	}
+	if k < n {
+		// What follows the header is held until its framing is known.
+		c.pending = append(bytes.Clone(p[k:n]), c.pending...)
+		return k, nil
+	}
 	return n, err
 }
 
@@ -158,10 +178,7 @@
 	sealed    bool // no byte may be written any more
 	writing   bool // a write is under way
 	written   int64
-	received  int64
-	matched   int   // bytes of the end-of-header mark seen so far
-	body      int64 // bytes received after the header
-	interim   bool  // a 1xx answer came first, so body counts too much
+	frame     frame
 }
 
 // trace returns ctx with hooks that bind the connection to x.
@@ -175,7 +192,7 @@
 		Got1xxResponse: func(int, textproto.MIMEHeader) error {
 			x.mu.Lock()
 			defer x.mu.Unlock()
-			x.interim = true
+			x.frame = frame{}
 			return nil
 		},
 	})
@@ -220,45 +237,31 @@
 	x.written += int64(n)
 }
 
-// endOfHeader separates an answer's header from its body.
-const endOfHeader = "\r\n\r\n"
+// take returns how many of the received bytes belong to the answer.
+func (x *exchange) take(p []byte) (int, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.frame.take(p)
+}
 
-func (x *exchange) read(p []byte) {
+// expect tells how long the body is, negative for a body in chunks.
+func (x *exchange) expect(length int64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.received += int64(len(p))
-	for i := 0; i < len(p) && x.matched < len(endOfHeader); i++ {
-		switch {
-		case p[i] == endOfHeader[x.matched]:
-			x.matched++
-		case p[i] == '\r':
-			x.matched = 1
-		default:
-			x.matched = 0
-		}
-		if x.matched == len(endOfHeader) {
-			x.body -= int64(i + 1)
-		}
-	}
-	if x.matched == len(endOfHeader) {
-		x.body += int64(len(p))
-	}
+	x.frame.expect(length)
 }
 
-// seal forbids further writes and returns what the upstream can have seen.
-func (x *exchange) seal() (connected, sent, answered bool) {
+// tooLong reports whether bytes followed the answer's end.
+func (x *exchange) tooLong() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.sealed = true
-	return x.connected > 0, x.writing || x.written > 0, x.received > 0
+	return x.frame.long
 }
 
-// excess returns how many bytes beyond length followed the answer's header.
-func (x *exchange) excess(length int64) int64 {
+// seal forbids further writes and returns what the upstream can have seen.
+func (x *exchange) seal() (connected, sent bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.interim {
-		return 0
-	}
-	return x.body - length
+	x.sealed = true
+	return x.connected > 0, x.writing || x.written > 0
 }
