--- a/internal/idempotency/client.go
+++ b/internal/idempotency/client.go
@@ -144,6 +144,11 @@
 		if reply.FingerprintDiffers {
 			return Decision{}, differs()
 		}
+		// A keeper that had lost the claim learns it again from the other.
+		claim.RequestID, claim.Outcome = reply.RequestID, reply.Outcome
+		for _, g := range granted {
+			_, _ = c.call(ctx, g, claim) // without it, the other keeper holds the claim alone
+		}
 		return Decision{Outcome: reply.Outcome, RequestID: reply.RequestID}, nil
 	}
 	if len(granted) == 0 {
--- a/internal/idempotency/idempotency_test.go
+++ b/internal/idempotency/idempotency_test.go
@@ -20,6 +20,7 @@
 	mu     sync.Mutex
 	tables map[topology.HostName]*Table
 	down   map[topology.HostName]bool
+	before func()
 }
 
 func newCluster() *cluster {
@@ -37,6 +38,9 @@
 func (c *cluster) Reserve(_ context.Context, host topology.HostName, claim Claim) (Reply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.before != nil {
+		c.before()
+	}
 	if c.down[host] {
 		return Reply{}, errors.New("unreachable")
 	}
@@ -49,6 +53,35 @@
 	return Claim{Caller: "foreman", Key: "k", RequestID: id, Fingerprint: "same"}
 }
 
+// Guards against a claim that is lost although its keepers were lost one after
+// the other with a resend in between.
+func TestRestartedKeeperLearnsClaim(t *testing.T) {
+	hosts := newCluster()
+	pair := Keepers(hosts.hosts(), "foreman", "k")
+	_, err := hosts.client().Claim(t.Context(), claimOf("1"))
+	assert.NilError(t, err)
+	hosts.client().Finish(t.Context(), claimOf("1"), OutcomeExecuted, nil)
+	for _, lost := range pair {
+		hosts.tables[lost] = NewTable(0)
+		d, err := hosts.client().Claim(t.Context(), claimOf("2"))
+		assert.NilError(t, err)
+		assert.Equal(t, d, Decision{Outcome: OutcomeExecuted, RequestID: "1"})
+	}
+}
+
+// Guards against a key blocked by a request that ended while it claimed it and
+// so never ran.
+func TestClaimOfEndedRequestIsReleased(t *testing.T) {
+	hosts := newCluster()
+	ctx, cancel := context.WithCancel(t.Context())
+	hosts.before = cancel
+	_, err := hosts.client().Claim(ctx, claimOf("1"))
+	assert.Equal(t, apierror.From(err).Kind, apierror.KindDeadline)
+	d, err := hosts.client().Claim(t.Context(), claimOf("2"))
+	assert.NilError(t, err)
+	assert.Assert(t, d.Run)
+}
+
 // Guards against a resent request that runs twice, and against one that is
 // refused although its first sending was provably not executed.
 func TestResendThroughAnotherHost(t *testing.T) {
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -8,8 +8,9 @@
 //   - A resend through any host is refused, answered from the kept answer or told
 //     the outcome, as long as one of the two keepers still holds the claim and
 //     the resending host chooses and reaches it.
-//   - The loss of one keeper within KeepFor is tolerated. If both are lost or
-//     restarted, the claim is forgotten and a resend is executed again.
+//   - The loss of one keeper within KeepFor is tolerated; a restarted one learns
+//     the claim again at the next resend. If both are lost or restarted before
+//     that, the claim is forgotten and a resend is executed again.
 //   - While hosts disagree about which hosts are live, two hosts may choose keepers
 //     without a common member; while the network is divided, each side may reach
 //     only one of the two. In both cases a resend on the other side can be
@@ -132,10 +133,10 @@
 			t.order.MoveToBack(element)
 		}
 		return Reply{Claimed: true, Outcome: h.claim.Outcome, RequestID: claim.RequestID}, nil
-	case claim.Outcome == OutcomeInFlight && outcome == OutcomeNotExecuted:
+	case outcome == OutcomeNotExecuted:
 		h.claim, h.since = claim, now
 		t.order.MoveToBack(element)
-		return Reply{Claimed: true, RequestID: claim.RequestID}, nil
+		return Reply{Claimed: true, Outcome: claim.Outcome, RequestID: claim.RequestID}, nil
 	}
 	return Reply{
 		Outcome: outcome, RequestID: h.claim.RequestID,
