--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -162,6 +162,80 @@
 	})
 }
 
+// Guards against a waiting request that outlives its deadline, its caller or
+// the wait bound while no server answers, and against places lost by it.
+func TestWaitingRequestEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, test := range []struct {
+			name             string
+			deadline, cancel time.Duration
+			want             apierror.Kind
+			after            time.Duration
+		}{
+			{"deadline", 500 * time.Millisecond, 0, apierror.KindDeadline, 500 * time.Millisecond},
+			{"caller gone", 0, 300 * time.Millisecond, apierror.KindCanceled, 300 * time.Millisecond},
+			{"wait bound", 0, 0, apierror.KindOverloaded, time.Second},
+		} {
+			c := newController(t, ServiceConfig{Servers: servers(1), MaxWait: time.Second})
+			held := occupy(t, c, "")
+			ctx, cancel := context.WithCancel(t.Context())
+			if test.cancel > 0 {
+				time.AfterFunc(test.cancel, cancel)
+			}
+			request := Request{Service: testService, Caller: "a"}
+			start := time.Now()
+			if test.deadline > 0 {
+				request.Deadline = start.Add(test.deadline)
+			}
+			_, err := c.Admit(ctx, request, nil)
+			cancel()
+			assert.Equal(t, kindOf(err), test.want, test.name)
+			assert.Assert(t, time.Since(start)-test.after <= time.Millisecond, "%s: ended after %v", test.name, time.Since(start))
+			for _, ticket := range held {
+				ticket.Done(OutcomeOK, time.Millisecond)
+			}
+			assert.Equal(t, c.InFlight(testService)["s0"], 0)
+		}
+	})
+}
+
+// Guards against data races and lost places between concurrent requests,
+// cancellations and server changes; meaningful with -race.
+func TestConcurrentUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newController(t, ServiceConfig{Servers: servers(4)})
+		var group conc.WaitGroup
+		for i := range 50 {
+			group.Go(func() {
+				for j := range 20 {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Duration(10+(i*j)%40)*time.Millisecond)
+					ticket, err := c.Admit(ctx, Request{Service: testService, Caller: topology.Caller(fmt.Sprint(i % 7)), Class: Class(i % 3)}, nil)
+					if err == nil {
+						time.Sleep(time.Duration(1+j%5) * time.Millisecond)
+						ticket.Done(Outcome(j%5), 3*time.Millisecond)
+						ticket.Done(OutcomeOK, time.Millisecond) // has no effect
+					}
+					cancel()
+				}
+			})
+		}
+		group.Go(func() {
+			for i := range 30 {
+				time.Sleep(3 * time.Millisecond)
+				c.SetServers(testService, servers(1+i%4))
+				c.SetState(testService, "s0", ServerState(i%2))
+				c.SetHosts(0, 1+i%12)
+				c.Observe(testService, Report{Server: "s0", InFlight: float64(i)})
+				c.Overloaded(testService, ClassLookup)
+			}
+		})
+		group.Wait()
+		for name, inFlight := range c.InFlight(testService) {
+			assert.Equal(t, inFlight, 0, "server %s", name)
+		}
+	})
+}
+
 func BenchmarkAdmitDone(b *testing.B) {
 	for _, pinned := range []bool{false, true} {
 		for _, n := range []int{8, 1900} {
--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,169 @@
+package balance
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// The seed is fixed so that every run gives the same verdict; -rapid.seed
+// overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+var policies = map[string]func() Policy{
+	"random":          func() Policy { return Random{} },
+	"round-robin":     func() Policy { return &RoundRobin{} },
+	"least-in-flight": func() Policy { return LeastInFlight{} },
+	"two-choices":     func() Policy { return TwoChoices{} },
+	"probing":         func() Policy { return Probing{} },
+	"leased":          func() Policy { return Leased{} },
+	"zone":            func() Policy { return ZonePreference{} },
+}
+
+// Guards against a choice of a server that may not get the request, and against
+// a request that waits although a server is free. Seed: rapid prints it.
+func TestChoiceIsFreeIfAnyIs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		view := &View{Now: time.Minute, Hosts: rapid.IntRange(1, 1900).Draw(t, "hosts"), Usual: 20 * time.Millisecond}
+		view.Host = rapid.IntRange(0, view.Hosts-1).Draw(t, "host")
+		n := rapid.SampledFrom([]int{0, 1, 3, 8, 15, 200}).Draw(t, "servers")
+		anyFree := false
+		for range n {
+			s := Server{
+				Slots: 2, State: State(rapid.IntRange(0, 3).Draw(t, "state")), InFlight: rapid.IntRange(0, 4).Draw(t, "inFlight"),
+				Limit: rapid.Float64Range(0, 4).Draw(t, "limit"), Blocked: rapid.Bool().Draw(t, "blocked"),
+				Slowdown: rapid.Float64Range(0, 9).Draw(t, "slowdown"), Reported: rapid.Float64Range(0, 9).Draw(t, "reported"),
+				HasReport: rapid.Bool().Draw(t, "hasReport"), ReportedAt: view.Now - time.Second,
+			}
+			anyFree = anyFree || s.Free()
+			view.Servers = append(view.Servers, s)
+		}
+		AssignLeases(view)
+		for name, policy := range policies {
+			i := policy().Choose(view, rand.New(rand.NewPCG(1, 1)))
+			if (i >= 0) != anyFree || (i >= 0 && !view.Servers[i].Free()) {
+				t.Fatalf("%s chose %d, any free: %v", name, i, anyFree)
+			}
+		}
+	})
+}
+
+// Guards against a server that attracts load by reporting none, or by a report
+// from before it became busy: it is slow by the host's own observation.
+func TestFalseReportsAttractNoLoad(t *testing.T) {
+	for name, report := range map[string]struct {
+		reported float64
+		age      time.Duration
+	}{"always zero": {0, 50 * time.Millisecond}, "stale": {0, time.Hour}} {
+		for _, policy := range []string{"two-choices", "probing", "leased", "zone"} {
+			view := &View{Now: 2 * time.Hour, Hosts: 1, Usual: 20 * time.Millisecond}
+			for range 4 {
+				view.Servers = append(view.Servers, Server{
+					Slots: 2, Limit: 100, Slowdown: 1.2, ObservedAt: view.Now, Reported: 3, ReportedAt: view.Now - 50*time.Millisecond, HasReport: true,
+				})
+			}
+			liar := &view.Servers[0]
+			liar.Slowdown, liar.Reported, liar.ReportedAt = 5, report.reported, view.Now-report.age
+			AssignLeases(view)
+			random, p, chosen := rand.New(rand.NewPCG(2, 2)), policies[policy](), 0
+			for range 1000 {
+				if p.Choose(view, random) == 0 {
+					chosen++
+				}
+			}
+			assert.Assert(t, chosen <= 250, "%s, report %s: the slow server got %d of 1000, more than its even part", policy, name, chosen)
+		}
+	}
+}
+
+// Guards against an ejection of more than a third of the servers, whatever
+// fails, against a server that is never let back in, and against one that fails
+// and stays.
+func TestEjectionBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "servers")
+		servers, outliers := make([]Server, n), make([]Outlier, n)
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+			outliers[rapid.IntRange(0, n-1).Draw(t, "server")].Observe(rapid.IntRange(0, 9).Draw(t, "ok") == 0)
+			Eject(servers, outliers, now)
+			ejected := 0
+			for i := range servers {
+				if servers[i].State == StateEjected {
+					ejected++
+				}
+			}
+			if ejected*3 > n {
+				t.Fatalf("%d of %d servers ejected", ejected, n)
+			}
+		}
+		outliers = make([]Outlier, n)
+		Eject(servers, outliers, now+maxEjection+1)
+		for i := range servers {
+			if servers[i].State == StateEjected {
+				t.Fatalf("server %d stays ejected", i)
+			}
+		}
+		for range ejectAfter {
+			outliers[0].Observe(false)
+		}
+		Eject(servers, outliers, now+maxEjection+2)
+		if n >= 3 && servers[0].State != StateEjected {
+			t.Fatal("a failing server is not ejected")
+		}
+	})
+}
+
+// Guards against places that two hosts count as their own or that belong to
+// none: the hosts then collide although each keeps to its places.
+func TestLeasesPartitionThePlaces(t *testing.T) {
+	for _, hosts := range []int{1, 2, 3, 7, 12, 40} {
+		for _, n := range []int{1, 7, 8, 13, 15} {
+			total := make([]int, n)
+			for host := range hosts {
+				view := &View{Servers: make([]Server, n), Host: host, Hosts: hosts}
+				for i := range view.Servers {
+					view.Servers[i].Slots = 2
+				}
+				AssignLeases(view)
+				for i, s := range view.Servers {
+					total[i] += s.Leased
+				}
+			}
+			for i, places := range total {
+				assert.Equal(t, places, 2*placesPerSlot, "hosts %d, server %d of %d", hosts, i, n)
+			}
+		}
+	}
+}
+
+// Guards against requests that cross availability zones while the own has
+// capacity, or that stay when it has none.
+func TestZonePreferenceSpills(t *testing.T) {
+	view := &View{AvailabilityZone: "rafaela", Now: time.Second}
+	for i := range 6 {
+		zone := view.AvailabilityZone
+		if i >= 2 {
+			zone = "santa-fe"
+		}
+		view.Servers = append(view.Servers, Server{AvailabilityZone: zone, Slots: 2, Limit: 4})
+	}
+	random, remote := rand.New(rand.NewPCG(3, 3)), make([]int, 6)
+	for step := range 16 {
+		i := ZonePreference{}.Choose(view, random)
+		assert.Assert(t, i >= 0)
+		view.Servers[i].InFlight++
+		remote[i]++
+		if step == 3 {
+			assert.Equal(t, remote[0]+remote[1], 4, "a free local slot was passed over: %v", remote)
+		}
+	}
+	for i := 2; i < 6; i++ {
+		assert.Assert(t, remote[i] >= 2 && remote[i] <= 3, "the spill is not proportional: %v", remote)
+	}
+}
--- a/internal/bench/balance/plot.go
+++ b/internal/bench/balance/plot.go
@@ -26,14 +26,13 @@
 		}
 		all = append(all, &series{name, plotter.XYs{{X: x, Y: y}}})
 	}
-	hasBookings := false
 	for _, r := range rows {
 		load := r.Options.Load + r.Options.Flood
 		label := fmt.Sprintf("%s, %d hosts, %s", r.Options.Service, r.Options.Hosts, r.Options.Policy)
 		goodput, _ := r.mean(func(r Result) float64 { return r.Goodput })
 		add(label, load, goodput)
 		bookings, _ := r.mean(func(r Result) float64 { return r.Bookings })
-		if hasBookings = bookings > 0; hasBookings {
+		if w, err := findWorkload(r.Options.Service); err == nil && w.hasBookings() {
 			add(label+": bookings answered", load, bookings)
 		}
 	}
--- a/internal/bench/balance/workload.go
+++ b/internal/bench/balance/workload.go
@@ -69,6 +69,15 @@
 	return time.Duration(sum)
 }
 
+func (w workload) hasBookings() bool {
+	for _, k := range w.kinds {
+		if k.class == admission.ClassBooking {
+			return true
+		}
+	}
+	return false
+}
+
 func (w workload) pick(random *rand.Rand) kind {
 	x := random.Float64()
 	for _, k := range w.kinds {
