Allow borrowing up to a higher reported load

Cause: the bounds on the reported load dated from a smaller overcommit; at 0.9 times the capacity hosts queued although other hosts' shares were free. Change: growth up to 1.7 requests per slot instead of 1.4, return above 2.0 instead of 1.6.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -51,8 +51,8 @@
 	// that has never seen the service without queueing takes the queueing for
 	// the usual latency; the reports keep it from growing then. When all hosts
 	// use their share the pressure is the overcommit, which is above both.
-	growPressure   = 1.4
-	shrinkPressure = 1.6
+	growPressure   = 1.7
+	shrinkPressure = 2.0
 )
 
 func newWindow(slots float64, hosts int, floor float64) window {
