--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cassiasill/cassiasill/internal/topology"
 )
@@ -106,7 +107,7 @@
 				return
 			}
 		}
-		best, ok := p.bestMove(order[source], order[source+1:], load)
+		best, ok := p.bestMove(order[source], order[source+1:], load, p.cost)
 		if !ok {
 			source++
 			continue
@@ -121,31 +122,38 @@
 }
 
 // budget returns the load, relative to the fair share, and the number of moves
-// that may still be planned.
+// that may still be planned. The budget is a bucket that refills at the rate and
+// holds what the rate gives in one window.
 func (p *planner) budget() (float64, int) {
 	b := p.in.Budget
-	share := b.LoadPerMinute * b.Window.Minutes()
 	moves := b.ConcurrentMoves
-	for _, m := range p.in.Recent {
-		if m.Age < b.Window {
-			share -= m.Share
-		}
+	recent := slices.Clone(p.in.Recent)
+	slices.SortStableFunc(recent, func(x, y RecentMove) int { return cmp.Compare(y.Age, x.Age) })
+	used, since := 0.0, time.Duration(0)
+	for _, m := range recent {
+		used = max(used-b.LoadPerMinute*(since-m.Age).Minutes(), 0)
+		// Forced moves may exceed the bucket; the excess is not a debt, because
+		// balance must be restored soon after a large loss.
+		used = min(used+m.Share, b.capacity())
+		since = m.Age
 		if m.InFlight {
 			moves--
 		}
 	}
+	used = max(used-b.LoadPerMinute*since.Minutes(), 0)
 	for _, m := range p.plan.Moves {
-		share -= m.Share
+		used += m.Share
 		moves--
 	}
-	return share * p.total, moves
+	return (b.capacity() - used) * p.total, moves
 }
 
 // targetsPerMove is the number of least used servers considered as targets.
 const targetsPerMove = 8
 
-// bestMove returns the move from source with the highest gain net of its price.
-func (p *planner) bestMove(source int, others []int, budget float64) (candidate, bool) {
+// bestMove returns the move from source with the highest gain net of its price
+// per load.
+func (p *planner) bestMove(source int, others []int, budget, price float64) (candidate, bool) {
 	best := candidate{}
 	targets := others[max(len(others)-targetsPerMove, 0):]
 	for _, i := range p.servers[source].owned {
@@ -160,7 +168,7 @@
 		if to == noServer {
 			continue
 		}
-		if net := p.gain(source, to, s.load) - p.cost*s.load; net > best.net+1e-12 {
+		if net := p.gain(source, to, s.load) - price*s.load; net > best.net+1e-12 {
 			best = candidate{slice: i, to: to, net: net}
 		}
 	}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -61,14 +61,18 @@
 // Budget bounds the voluntary moves. Moves away from lost, draining or
 // ineligible servers are not bounded, but count.
 type Budget struct {
-	// LoadPerMinute is the share of the total load that may move per minute.
+	// LoadPerMinute is the share of the total load that may move per minute in
+	// the long run.
 	LoadPerMinute float64
-	// Window is the time over which LoadPerMinute is averaged.
+	// Window is the time whose budget may be saved up and spent at once.
 	Window time.Duration
 	// ConcurrentMoves bounds the moves in flight at once.
 	ConcurrentMoves int
 }
 
+// capacity is the share that may move at once.
+func (b Budget) capacity() float64 { return b.LoadPerMinute * b.Window.Minutes() }
+
 // RecentMove is a move that an earlier plan contained.
 type RecentMove struct {
 	Range topology.Range
@@ -101,7 +105,8 @@
 	Budget   Budget
 	// MoveGap is the measured time for which a moving range is not served.
 	MoveGap time.Duration
-	Recent  []RecentMove
+	// Recent holds the moves of at least the last four budget windows.
+	Recent []RecentMove
 	Policy  Policy
 }
 
