--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/apierror"
 	"github.com/cassiasill/cassiasill/internal/declaration"
+	"github.com/cassiasill/cassiasill/internal/peersync"
 	"github.com/cassiasill/cassiasill/internal/store"
 	"github.com/cassiasill/cassiasill/internal/topology"
 )
@@ -241,7 +242,7 @@
 				start := time.Now()
 				_, err = hosts[0].writer.Apply(context.Background(), change("while-down", labels("inv-04", 0, "tier=fast")))
 				assert.Equal(t, kindOf(err), apierror.KindStoreUnavailable)
-				assert.Assert(t, time.Since(start) < callTimeout, "refused after %v", time.Since(start))
+				assert.Equal(t, time.Since(start), time.Duration(0), "the refusal waits for the store")
 				s.beforeTxn = nil
 				s.set(func() { s.down = false })
 				time.Sleep(time.Second)
@@ -295,6 +296,20 @@
 	})
 }
 
+// Guards against a host that goes on under old rules though it knows that it
+// lacks a revision, and against peers that claim one which the store does not
+// have taking hosts out of service.
+func TestUnreadableDeclarations(t *testing.T) {
+	inCluster(t, func(t *testing.T, _ context.Context, s *fakeStore, hosts []*fakeHost) {
+		r := mustApply(t, hosts[0], change("good", labels("inv-03", 0, "tier=fast")))
+		hosts[5].bus.Publish(peersync.Topic{Name: Topic, Version: version(r.Revision + 1), Payload: []byte("?")})
+		requireInForce(t, hosts, r.Revision, "inv-03", "tier", "fast")
+		s.set(func() { s.down = true })
+		time.Sleep(FreshFor + probeRetry)
+		assert.Assert(t, !hosts[7].follower.Fresh())
+	})
+}
+
 // Guards against a host that missed many revisions, or has just started during
 // an outage of the store, not catching up from its peers alone.
 func TestCatchUpFromPeers(t *testing.T) {
@@ -324,6 +339,9 @@
 		old := labels("inv-03", 0, "tier=slow").Document
 		for _, revision := range []uint64{0, r.Revision} {
 			hosts[0].follower.Install(State{Revision: revision, Documents: map[declaration.Key]*declaration.Document{old.Key(): old}})
+			assert.Equal(t, hosts[0].follower.Current().Revision(), r.Revision)
+			got, _ := hosts[0].follower.Current().ServerLabels("inventario", "inv-03")
+			assert.Equal(t, got["tier"], "fast")
 		}
 		requireInForce(t, hosts, r.Revision, "inv-03", "tier", "fast")
 	})
--- a/internal/configsync/follower.go
+++ b/internal/configsync/follower.go
@@ -148,7 +148,11 @@
 // the bus holds if they fit; otherwise a snapshot starts them anew.
 func (f *Follower) publish(before State) {
 	next := payload{Revision: f.state.Revision, Digest: f.state.Digest}
-	if held, ok := f.heldPayload(); ok && held.Revision == before.Revision && held.Digest == before.Digest && before.Revision > 0 {
+	held, ok := f.heldPayload()
+	if ok && held.Revision >= next.Revision {
+		return
+	}
+	if ok && held.Revision == before.Revision && held.Digest == before.Digest && before.Revision > 0 {
 		next.Deltas = append(held.Deltas, difference(before, f.state))
 	}
 	data := encode(next)
@@ -165,6 +169,9 @@
 // version orders the topics by revision alone, whoever publishes them.
 func version(revision uint64) topology.Version { return topology.Version{Sequence: revision} }
 
+// heldPayload returns what the bus holds. An unreadable payload, as a newer
+// release may send, counts as a revision that this host lacks: it then asks the
+// store.
 func (f *Follower) heldPayload() (payload, bool) {
 	topic, ok := f.config.Bus.Get(Topic)
 	if !ok {
@@ -173,6 +180,7 @@
 	var p payload
 	if err := json.Unmarshal(topic.Payload, &p); err != nil {
 		f.log.Error("configsync: peers sent unreadable declarations", zap.Error(err))
+		f.markBehind(topic.Version.Sequence)
 		return payload{}, false
 	}
 	return p, true
@@ -240,6 +248,13 @@
 	}
 }
 
+// markCurrent notes that the store knows no newer revision.
+func (f *Follower) markCurrent() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.behindSince = time.Time{}
+}
+
 func (f *Follower) heardStore(sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -244,6 +244,7 @@
 	switch {
 	case known && h.Revision <= revision:
 		p.late = false
+		f.markCurrent()
 		p.verify()
 	case known && f.config.Watching() && !p.late:
 		p.late = true
