--- a/internal/configsync/plan.go
+++ b/internal/configsync/plan.go
@@ -150,6 +150,9 @@
 	if len(accepted.Edits) == 0 {
 		return planned{state: state, accepted: Accepted{ID: change.ID, Revision: state.Revision}}, nil
 	}
+	if size := len(encode(accepted)); size > store.MaxValueBytes {
+		return planned{}, apierror.New(apierror.KindTooLarge, "the change takes %d bytes in the history, the limit is %d: split it", size, store.MaxValueBytes)
+	}
 	return planned{state: next, accepted: accepted}, nil
 }
 
--- a/internal/operator/queries.go
+++ b/internal/operator/queries.go
@@ -74,8 +74,9 @@
 	return reply, nil
 }
 
-// status tells which revision is in force on which host. The list of hosts is
-// a hint that lags, so hosts that only published a revision are listed too.
+// status tells which revision is in force on which host. A host that is lost
+// may have left its revision behind, so the list of hosts decides who is shown;
+// the list lags, so a host that was just lost is shown for a while.
 func (s *Server) status(c call) (any, error) {
 	set := s.config.Follower.Current()
 	reply := api.Status{Host: s.config.Host, Revision: set.Revision(), Fresh: s.config.Follower.Fresh(), Hosts: []api.HostStatus{}}
