Decide who serves a caller without a cache per caller

Callers come from the network; a cache of them would be cloned at each miss once it is full. Set.Restricted judges a key without allocating.

--- a/internal/declaration/declaration_test.go
+++ b/internal/declaration/declaration_test.go
@@ -172,7 +172,24 @@
 	for _, want := range []string{"is drained by ServerLabels/drained", "OwnershipRule/absorbed-on-big requires size=big, found no label size", "KeyLabels/absorbed"} {
 		assert.Assert(t, strings.Contains(text, want), "%q is missing in %s", want, text)
 	}
-	assert.Equal(t, testing.AllocsPerRun(100, func() { set.MayServe("orders", "shop-1") }), 0.0, "the request path allocates")
+	for key, want := range map[string]bool{"PLAIN": false, "KOF-1": true, "KOF-7": false, "X-BRASS": true} {
+		assert.Equal(t, set.Restricted("finishes", key), want, key)
+		assert.Equal(t, set.GroupOf("finishes", key).ID != set.DefaultGroup("finishes").ID, want, key)
+	}
+	allocations := testing.AllocsPerRun(100, func() { set.MayServe("orders", "shop-1"); set.Restricted("finishes", "PLAIN") })
+	assert.Equal(t, allocations, 0.0, "the request path allocates")
+	named := testSet(t, document("OwnershipRule", "r", `service: finishes, keys: "cassiasill/key in (A,B)", servers: cassiasill/server=fin-1`)+
+		document("OwnershipRule", "all", `service: finishes, keys: cassiasill/key, servers: cassiasill/server!=fin-2`))
+	assert.DeepEqual(t, named.LabeledKeys("finishes"), []string{"A", "B"})
+	assert.Equal(t, fmt.Sprint(named.DefaultGroup("finishes").Servers, named.Restricted("finishes", "A"), named.Restricted("finishes", "C")), "[fin-0 fin-1 fin-3] true false")
+}
+
+func manyRules(n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(document("ServingRule", fmt.Sprint("r-", i), "service: orders, servers: cassiasill/server=ord-0"))
+	}
+	return b.String()
 }
 
 // Guards against faults in the context of other documents passing validation.
@@ -186,6 +203,7 @@
 		{"matches nothing", document("OwnershipRule", "r", `service: finishes, servers: sise=big`), `warning matches none of the 4 servers of finishes; no label sise (did you mean "size"?)`},
 		{"keys match nothing", document("OwnershipRule", "r", `service: finishes, keys: catalog=x, servers: size=big`), `warning selects by a label or value that no key has; no label catalog (did you mean "catalogue"?)`},
 		{"value of no server", document("OwnershipRule", "r", `service: finishes, servers: cassiasill/availability-zone=zne-1`), `no cassiasill/availability-zone=zne-1 (did you mean "zone-1"?)`},
+		{"too many rules", manyRules(maxServingRules), "would have 257 serving rules, the limit is 256"},
 		{"no server left", "", "warning keys of KeyLabels"},
 	} {
 		var found []string
--- a/internal/declaration/keys.go
+++ b/internal/declaration/keys.go
@@ -58,6 +58,21 @@
 	return append(out, x.exact[key]...)
 }
 
+// labeled reports whether any document applies to key.
+func (x *keyIndex) labeled(key string) bool {
+	if _, ok := x.exact[key]; ok {
+		return true
+	}
+	for _, n := range x.lengths {
+		if n <= len(key) {
+			if _, ok := x.prefixes[key[:n]]; ok {
+				return true
+			}
+		}
+	}
+	return slices.ContainsFunc(x.patterns, func(d *Document) bool { return matchPattern(d.Spec.Pattern, key) })
+}
+
 // labels returns the labels of key and the document that gave each.
 func (x *keyIndex) labels(key string) (topology.Labels, map[string]Key) {
 	labels := topology.Labels{LabelKey: key}
--- a/internal/declaration/selector.go
+++ b/internal/declaration/selector.go
@@ -218,19 +218,29 @@
 	return s
 }
 
-// matches reports whether labels meet r. As in Kubernetes, `!=` and `notin`
-// also match when the label is absent.
-func (r requirement) matches(labels topology.Labels) bool {
-	value, present := labels[r.label]
+// accepts reports whether a label with the value, or its absence, meets r. As in
+// Kubernetes, `!=` and `notin` also accept an absent label.
+func (r *requirement) accepts(value string, present bool) bool {
 	switch r.op {
 	case opExists:
 		return present
 	case opAbsent:
 		return !present
 	case opIn:
-		return present && slices.Contains(r.values, value)
+		return present && r.lists(value)
 	}
-	return !present || !slices.Contains(r.values, value)
+	return !present || !r.lists(value)
+}
+
+// lists reports whether value is one of the values, which are sorted.
+func (r *requirement) lists(value string) bool {
+	_, found := slices.BinarySearch(r.values, value)
+	return found
+}
+
+func (r *requirement) matches(labels topology.Labels) bool {
+	value, present := labels[r.label]
+	return r.accepts(value, present)
 }
 
 // Matches reports whether labels meet every requirement.
@@ -243,6 +253,22 @@
 	return true
 }
 
+// matchesNamed is Matches for labels and the label own with the value name. It
+// allocates nothing.
+func (s Selector) matchesNamed(labels topology.Labels, own, name string) bool {
+	for i := range s.requirements {
+		r := &s.requirements[i]
+		value, present := name, true
+		if r.label != own {
+			value, present = labels[r.label]
+		}
+		if !r.accepts(value, present) {
+			return false
+		}
+	}
+	return true
+}
+
 // Mismatch names the first requirement that labels do not meet, with the value
 // found, or returns "".
 func (s Selector) Mismatch(labels topology.Labels) string {
--- a/internal/declaration/set.go
+++ b/internal/declaration/set.go
@@ -44,9 +44,19 @@
 	ownership   []rule
 	serving     []rule
 	groups      cache[string, *Group]
-	eligible    cache[topology.Caller, []topology.ServerName]
+	eligible    cache[ruleMask, []topology.ServerName]
 }
 
+// maxServingRules bounds the serving rules of one service, so that the rules
+// that apply to a caller fit in a mask and the path of requests allocates
+// nothing.
+const maxServingRules = 256
+
+// ruleMask has a bit for each serving rule of a service.
+type ruleMask [maxServingRules / 64]uint64
+
+func (m ruleMask) has(i int) bool { return m[i/64]&(1<<(i%64)) != 0 }
+
 type serverState struct {
 	name    topology.ServerName
 	labels  topology.Labels
@@ -62,6 +72,8 @@
 	servers  Selector
 	// selected has one entry for each server of the service.
 	selected []bool
+	// byDefault is true if an OwnershipRule applies to keys without labels.
+	byDefault bool
 }
 
 // Group is a set of keys to which the same ownership rules apply.
@@ -76,8 +88,8 @@
 	Servers []topology.ServerName
 }
 
-// cacheLimit bounds each cache of answers; callers come from the network, so
-// their number is not bounded by itself.
+// cacheLimit bounds each cache of answers. Entries are combinations of rules
+// that occur, so there are few; the limit only excludes surprises.
 const cacheLimit = 4096
 
 // cache is a map that readers read without a lock or allocation.
@@ -186,14 +198,19 @@
 	for i, server := range s.servers {
 		r.selected[i] = r.servers.Matches(server.labels)
 	}
+	r.byDefault = r.subjects.Matches(unlabeled())
 	switch {
 	case d.Kind == KindOwnershipRule && s.partitioned:
 		s.ownership = append(s.ownership, r)
-	case d.Kind == KindServingRule && !s.partitioned:
+	case d.Kind == KindServingRule && !s.partitioned && len(s.serving) < maxServingRules:
 		s.serving = append(s.serving, r)
 	}
 }
 
+// unlabeled returns the labels of a key that no document labels and no rule
+// names.
+func unlabeled() topology.Labels { return topology.Labels{LabelKey: ""} }
+
 // Revision returns the revision of the documents.
 func (s *Set) Revision() uint64 { return s.revision }
 
@@ -266,13 +283,42 @@
 	return topology.Labels{LabelKey: key}
 }
 
-// LabeledKeys returns the exact keys of a service that have documents of their
-// own, so that the planner can give them slices of their own.
+// LabeledKeys returns the keys of a service that documents name exactly, so
+// that the planner can give them slices of their own.
 func (s *Set) LabeledKeys(service topology.ServiceName) []string {
-	if target := s.services[service]; target != nil {
-		return slices.Sorted(maps.Keys(target.keys.exact))
+	target := s.services[service]
+	if target == nil {
+		return nil
+	}
+	out := slices.Collect(maps.Keys(target.keys.exact))
+	for i := range target.ownership {
+		for _, r := range target.ownership[i].subjects.requirements {
+			if r.label == LabelKey {
+				out = append(out, r.values...)
+			}
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// Restricted reports whether other ownership rules apply to a key than to keys
+// without labels. For a key without labels it allocates nothing.
+func (s *Set) Restricted(service topology.ServiceName, key string) bool {
+	target := s.services[service]
+	if target == nil {
+		return false
+	}
+	var labels topology.Labels
+	if target.keys.labeled(key) {
+		labels, _ = target.keys.labels(key)
+	}
+	for i := range target.ownership {
+		if r := &target.ownership[i]; r.subjects.matchesNamed(labels, LabelKey, key) != r.byDefault {
+			return true
+		}
 	}
-	return nil
+	return false
 }
 
 // GroupOf returns the group of a key. An unknown service gives an empty group.
@@ -297,7 +343,7 @@
 	if target == nil {
 		return &Group{}
 	}
-	return target.group(target.ownershipOf(topology.Labels{}))
+	return target.group(target.ownershipOf(unlabeled()))
 }
 
 // ownershipOf returns the indexes of the ownership rules that apply to labels.
@@ -341,8 +387,8 @@
 }
 
 // MayServe returns the upstreams that may serve a caller of a service that is
-// not partitioned by key. The result must not be changed; a repeated call
-// allocates nothing.
+// not partitioned by key. The result must not be changed; it allocates nothing
+// once the combination of rules has occurred.
 func (s *Set) MayServe(service topology.ServiceName, caller topology.Caller) []topology.ServerName {
 	target := s.services[service]
 	if target == nil {
@@ -351,24 +397,27 @@
 	if len(target.serving) == 0 {
 		return target.live
 	}
+	var mask ruleMask
+	labels := s.callers[caller]
+	for i := range target.serving {
+		if target.serving[i].subjects.matchesNamed(labels, LabelCaller, string(caller)) {
+			mask[i/64] |= 1 << (i % 64)
+		}
+	}
 	if known := target.eligible.entries.Load(); known != nil {
-		if servers, ok := (*known)[caller]; ok {
+		if servers, ok := (*known)[mask]; ok {
 			return servers
 		}
 	}
-	return target.eligible.get(caller, func() []topology.ServerName {
-		return target.intersect(target.serving, target.servingOf(s.callerLabels(caller)))
-	})
-}
-
-func (s *serviceSet) servingOf(labels topology.Labels) []int {
-	var out []int
-	for i := range s.serving {
-		if s.serving[i].subjects.Matches(labels) {
-			out = append(out, i)
+	return target.eligible.get(mask, func() []topology.ServerName {
+		var apply []int
+		for i := range target.serving {
+			if mask.has(i) {
+				apply = append(apply, i)
+			}
 		}
-	}
-	return out
+		return target.intersect(target.serving, apply)
+	})
 }
 
 func (s *Set) callerLabels(caller topology.Caller) topology.Labels {
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -37,7 +37,16 @@
 			v.keyLabels[d.Spec.Service].add(d.Spec.Labels)
 		}
 	}
+	serving := make(map[topology.ServiceName]int)
 	for _, d := range v.sorted {
+		if d.Kind == KindServingRule {
+			serving[d.Spec.Service]++
+		}
+	}
+	for _, d := range v.sorted {
+		if n := serving[d.Spec.Service]; d.Kind == KindServingRule && n > maxServingRules {
+			v.add(false, d, "", "service %s would have %d serving rules, the limit is %d", d.Spec.Service, n, maxServingRules)
+		}
 		if d.Kind == KindOwnershipRule || d.Kind == KindServingRule {
 			v.rule(d)
 		}
