Spare witnesses and the store the questions of hosts that are neither

Cause: each host that is no witness asked all witnesses every 0.4 s whether there is a leader and read the store every 0.5 to 2 s, so that both grew with the number of hosts. It now asks one witness, chosen at random, every 2 s and reads the store every 20 s; witnesses are candidates themselves.

--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -25,8 +25,9 @@
 	// leader. The time budget allows 150 ms for an election.
 	electionJitter = 80 * time.Millisecond
 	// followInterval is the longest time between two looks of a host that is
-	// not a witness at whether there is a leader.
-	followInterval = 400 * time.Millisecond
+	// not a witness at whether there is a leader. Witnesses are candidates
+	// themselves and notice a loss at once, so that the others need not.
+	followInterval = 2 * time.Second
 	// giveWayDelay keeps a host that gave way from being elected at once
 	// again; grants outlast it.
 	giveWayDelay = 400 * time.Millisecond
@@ -230,9 +231,36 @@
 	case early > 0:
 		return early
 	}
+	if !record.Names(e.self) && e.anyHolder(ctx, record) {
+		return followInterval + jitter
+	}
 	return e.campaign(ctx, record, jitter)
 }
 
+// anyHolder asks one witness, chosen at random, whether a promise to a leader is
+// in effect. Most hosts are not witnesses: if each asked all witnesses, these
+// would answer as many questions as there are hosts.
+func (e *Elector) anyHolder(ctx context.Context, record Record) bool {
+	e.mu.Lock()
+	host := record.Hosts[e.random.IntN(len(record.Hosts))]
+	e.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request := &peerpb.PromiseRequest{Candidate: string(e.self), RecordVersion: record.Version}
+	response, sentAt, err := e.ask(ctx, host, request)
+	if err != nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.answeredLocked(host, sentAt, request, response)
+	if response.GetHolder() == "" {
+		return false
+	}
+	e.leader = topology.HostName(response.GetHolder())
+	return true
+}
+
 // campaign asks whether there is a leader and, if not, tries to become it. The
 // question first keeps a host that cannot reach the leader from raising the
 // term at witnesses that can.
--- a/internal/leadership/maintain.go
+++ b/internal/leadership/maintain.go
@@ -20,7 +20,7 @@
 	// storeLimit. Hosts that are not witnesses call less often, because the
 	// store's rates grow more slowly than the fleet.
 	probeInterval     = 300 * time.Millisecond
-	idleProbeInterval = 2 * time.Second
+	idleProbeInterval = 20 * time.Second
 	probeTimeout      = 700 * time.Millisecond
 	// replaceAfter is how long a witness must be silent before the leader
 	// replaces it; an ordinary restart takes less.
