--- a/internal/invariant/owner.go
+++ b/internal/invariant/owner.go
@@ -32,6 +32,7 @@
 	mu         sync.Mutex
 	grants     map[topology.ServiceName]map[topology.ServerName]grant
 	stored     map[string]bool
+	led        map[topology.HostName]time.Time
 	violations []Violation
 }
 
@@ -45,6 +46,7 @@
 	return &OwnerChecker{
 		grants: make(map[topology.ServiceName]map[topology.ServerName]grant),
 		stored: make(map[string]bool),
+		led:    make(map[topology.HostName]time.Time),
 	}
 }
 
@@ -108,6 +110,22 @@
 	}
 }
 
+// Led notes that host has the authority of a leader until the given time. A
+// time that is not after now ends it.
+func (c *OwnerChecker) Led(now time.Time, host topology.HostName, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.led[host] = until
+	if !until.After(now) {
+		return
+	}
+	for other, end := range c.led {
+		if other != host && end.After(now) {
+			c.add(now, "one leader", "%s and %s both have authority", host, other)
+		}
+	}
+}
+
 // Owner returns the server that owns position at now.
 func (c *OwnerChecker) Owner(now time.Time, service topology.ServiceName, position topology.Hash) (topology.ServerName, bool) {
 	c.mu.Lock()
--- a/internal/leadership/candidate.go
+++ b/internal/leadership/candidate.go
@@ -1,7 +1,6 @@
 package leadership
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cassiasill/cassiasill/internal/peer/peerpb"
@@ -94,17 +93,31 @@
 
 // until is the end of the authority that the promises of a majority give.
 func (c *Candidate) until() time.Time {
-	var starts []time.Time
+	need := c.record.Majority()
+	if len(c.granted) < need || len(c.record.Hosts) == 0 {
+		return time.Time{}
+	}
+	// The basis is the latest moment since which a majority has promised.
+	var basis time.Time
 	for _, h := range c.record.Hosts {
-		if at, ok := c.granted[h]; ok {
-			starts = append(starts, at)
+		at, ok := c.granted[h]
+		if !ok || !at.After(basis) {
+			continue
+		}
+		since := 0
+		for _, other := range c.record.Hosts {
+			if start, ok := c.granted[other]; ok && !start.Before(at) {
+				since++
+			}
+		}
+		if since >= need {
+			basis = at
 		}
 	}
-	if len(c.record.Hosts) == 0 || len(starts) < c.record.Majority() {
+	if basis.IsZero() {
 		return time.Time{}
 	}
-	slices.SortFunc(starts, func(a, b time.Time) int { return b.Compare(a) })
-	return starts[c.record.Majority()-1].Add(PromiseTTL)
+	return basis.Add(PromiseTTL)
 }
 
 // expire ends a term whose authority has lapsed. The term is not resumed even
--- /dev/null
+++ b/internal/leadership/leadership_test.go
@@ -0,0 +1,171 @@
+package leadership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cassiasill/cassiasill/internal/peer/peerpb"
+	"github.com/cassiasill/cassiasill/internal/topology"
+)
+
+var record = Record{Version: 3, Hosts: []topology.HostName{"a", "b", "c"}}
+
+// Guards against a witness that promises two candidates at once, that forgets
+// a promise at a restart, or that promises under an old record or term.
+func TestWitnessPromises(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	ask := func(candidate string, term uint64) *peerpb.PromiseRequest {
+		return &peerpb.PromiseRequest{Candidate: candidate, Term: term, RecordVersion: 3}
+	}
+	release := ask("a", 10)
+	release.Release = true
+	steps := []struct {
+		at      time.Duration
+		request *peerpb.PromiseRequest
+		reason  string
+	}{
+		{504 * time.Millisecond, ask("a", 10), ReasonRecovering},
+		{505 * time.Millisecond, &peerpb.PromiseRequest{Candidate: "a", Term: 10, RecordVersion: 2}, ReasonRecord},
+		{505 * time.Millisecond, ask("a", 10), ""},
+		{600 * time.Millisecond, ask("b", 11), ReasonHeld},
+		{600 * time.Millisecond, ask("a", 11), ReasonHeld}, // a former process of this name may still act
+		{800 * time.Millisecond, ask("a", 10), ""},
+		{1304 * time.Millisecond, ask("b", 11), ReasonHeld}, // the margin of 1 %
+		{1305 * time.Millisecond, ask("b", 10), ReasonTerm},
+		{1305 * time.Millisecond, ask("b", 9), ReasonTerm},
+		{1305 * time.Millisecond, ask("a", 10), ""},
+		{1310 * time.Millisecond, release, ""},
+		{1310 * time.Millisecond, ask("b", 0), ReasonTerm}, // a question
+		{1310 * time.Millisecond, ask("b", 11), ""},
+		{1320 * time.Millisecond, release, ReasonHeld}, // late, for a former promise
+	}
+	w := NewWitness("a", start)
+	w.Learn(record)
+	for i, s := range steps {
+		got := w.Promise(start.Add(s.at), s.request, -1)
+		assert.Equal(t, got.GetReason(), s.reason, "step %d at %v", i, s.at)
+		assert.Equal(t, got.GetGranted(), s.reason == "")
+	}
+}
+
+// Guards against authority that outlasts the promises it rests on: it counts
+// from before the requests were sent, for the slowest of the majority, and is
+// not resumed once it has lapsed.
+func TestCandidateAuthority(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	c := NewCandidate("a")
+	c.SetRecord(record)
+	term := c.Campaign(now, 0)
+	granted := &peerpb.PromiseResponse{Granted: true}
+	answer := func(witness topology.HostName, sent, received time.Duration) bool {
+		return c.Response(now.Add(received), now.Add(sent), witness, term, granted)
+	}
+	assert.Assert(t, !answer("a", 0, time.Millisecond))
+	assert.Assert(t, !answer("x", 0, time.Millisecond), "a host outside the record counts")
+	assert.Assert(t, answer("b", 10*time.Millisecond, 90*time.Millisecond))
+	_, until, ok := c.Authority(now.Add(100 * time.Millisecond))
+	assert.Assert(t, ok)
+	assert.Equal(t, until, now.Add(PromiseTTL))
+	answer("c", 150*time.Millisecond, 160*time.Millisecond)
+	_, until, _ = c.Authority(now.Add(200 * time.Millisecond))
+	assert.Equal(t, until, now.Add(10*time.Millisecond+PromiseTTL))
+	answer("a", 400*time.Millisecond, 660*time.Millisecond) // after c's promise ended it, too late
+	_, _, ok = c.Authority(now.Add(660 * time.Millisecond))
+	assert.Assert(t, !ok, "a lapsed term was resumed")
+	assert.Assert(t, c.Campaign(now, 0) > term)
+}
+
+// Guards against a leader that keeps its place without the store while another
+// host reaches it, and against one that gives way in an outage for all.
+func TestGiveWay(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	cases := map[string]struct {
+		reached time.Duration // age of this host's last store call
+		witness int64         // age that a witness reports
+		want    bool
+	}{
+		"healthy":    {100 * time.Millisecond, 100, false},
+		"cut off":    {1100 * time.Millisecond, 100, true},
+		"outage":     {time.Minute, 60_000, false},
+		"never":      {time.Minute, -1, false},
+		"just begun": {900 * time.Millisecond, 100, false},
+	}
+	for name, tc := range cases {
+		c := NewCandidate("a")
+		c.Response(now, now, "b", 0, &peerpb.PromiseResponse{StoreAgeMillis: tc.witness})
+		assert.Equal(t, c.GiveWay(now, now.Add(-tc.reached)), tc.want, name)
+	}
+}
+
+// Guards against two records whose majorities do not share a witness, which
+// would allow two leaders, and against witnesses crowded into one zone.
+func TestNextRecordKeepsMajoritiesOverlapping(t *testing.T) {
+	const seed = 7
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewPCG(seed, seed))
+	for range 300 {
+		var hosts []topology.Host
+		for i := range 3 + random.IntN(10) {
+			hosts = append(hosts, topology.Host{Name: topology.HostName(fmt.Sprintf("h%02d", i)), AvailabilityZone: topology.AvailabilityZone(fmt.Sprint(i % 3))})
+		}
+		current, ok := firstRecord(hosts, "")
+		assert.Assert(t, ok && len(current.Hosts)%2 == 1)
+		zones := make(map[topology.AvailabilityZone]int)
+		for _, h := range hosts {
+			if current.Names(h.Name) {
+				zones[h.AvailabilityZone]++
+			}
+		}
+		for _, n := range zones {
+			assert.Assert(t, n < current.Majority() || len(current.Hosts) == 1, "a zone holds a majority: %v", zones)
+		}
+		dead := make(map[topology.HostName]bool)
+		for range 20 {
+			if random.IntN(4) == 0 {
+				dead[hosts[random.IntN(len(hosts))].Name] = random.IntN(3) > 0
+			}
+			next, ok := nextRecord(current, hosts, func(h topology.HostName) bool { return dead[h] })
+			if !ok {
+				continue
+			}
+			shared := 0
+			for _, h := range next.Hosts {
+				if current.Names(h) {
+					shared++
+				}
+			}
+			union := len(current.Hosts) + len(next.Hosts) - shared
+			assert.Assert(t, current.Majority()+next.Majority() > union, "%v then %v", current.Hosts, next.Hosts)
+			current = next
+		}
+	}
+}
+
+// Guards against a restarted witness that learns an outdated record from a
+// minority and then promises under it.
+func TestRecordFromPeersNeedsMajority(t *testing.T) {
+	answer := func(version uint64) *peerpb.PromiseResponse {
+		return &peerpb.PromiseResponse{Record: Record{Version: version, Hosts: []topology.HostName{"a", "b", "c", "d", "e"}}.message()}
+	}
+	cases := map[string]struct {
+		answers map[topology.HostName]*peerpb.PromiseResponse
+		version uint64 // zero: nothing is learnt
+	}{
+		"no answer":            {nil, 0},
+		"half of the others":   {map[topology.HostName]*peerpb.PromiseResponse{"b": answer(2), "c": answer(2)}, 0},
+		"majority":             {map[topology.HostName]*peerpb.PromiseResponse{"b": answer(2), "c": answer(1), "d": answer(1)}, 2},
+		"hosts not in record":  {map[topology.HostName]*peerpb.PromiseResponse{"b": answer(2), "x": answer(1), "y": answer(1)}, 0},
+		"without other record": {map[topology.HostName]*peerpb.PromiseResponse{"b": {}, "c": {}, "d": {}}, 0},
+	}
+	for name, tc := range cases {
+		got, ok := recordFromPeers("a", tc.answers)
+		assert.Equal(t, ok, tc.version != 0, name)
+		if ok {
+			assert.Equal(t, got.Version, tc.version, name)
+		}
+	}
+}
--- a/internal/ownership/schedule_faults_test.go
+++ b/internal/ownership/schedule_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"runtime/debug"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -35,7 +36,11 @@
 		}
 	case 2: // a host crashes and is started again
 		h.crashed, h.life = true, h.life+1
+		s.checker.Led(epoch.Add(s.now), h.name, epoch)
 		life := h.life
+		if s.chance(0.5) { // forgotten promises are still in effect
+			until = s.now + s.upTo(200*time.Millisecond)
+		}
 		s.after(until-s.now, func() {
 			if h.life == life {
 				s.boot(h)
@@ -103,7 +108,7 @@
 }
 
 const (
-	schedules    = 2_000
+	schedules    = 10_000
 	firstSeed    = 1
 	variantSeeds = 4_000
 )
@@ -114,6 +119,8 @@
 func TestSchedules(t *testing.T) {
 	t.Logf("seeds %d to %d", firstSeed, firstSeed+schedules-1)
 	var failures, events atomic.Int64
+	// The live heap is small; the default would collect it without pause.
+	defer debug.SetGCPercent(debug.SetGCPercent(800))
 	group := pool.New().WithMaxGoroutines(runtime.GOMAXPROCS(0))
 	for seed := uint64(firstSeed); seed < firstSeed+schedules; seed++ {
 		group.Go(func() {
--- a/internal/ownership/schedule_test.go
+++ b/internal/ownership/schedule_test.go
@@ -17,11 +17,13 @@
 )
 
 const (
-	faultsFrom   = 4 * time.Second // after the first grants
-	faultsUntil  = 12 * time.Second
-	scheduleEnd  = 18 * time.Second // leaves time to recover
+	faultsFrom   = 3500 * time.Millisecond // after the first grants
+	faultsUntil  = 9500 * time.Millisecond
+	scheduleEnd  = 15 * time.Second // faults and delays last 3 s beyond faultsUntil
 	maxDelay     = 1500 * time.Millisecond
 	stepInterval = 50 * time.Millisecond
+	// campaignLimit ends a campaign, as in the elector.
+	campaignLimit = 150 * time.Millisecond
 )
 
 // variant removes rules of the protocol; the checker must notice each.
@@ -203,6 +205,7 @@
 }
 
 func (s *schedule) boot(h *simHost) {
+	s.checker.Led(epoch.Add(s.now), h.name, epoch)
 	h.life++
 	h.crashed, h.paused, h.waiting, h.ledger, h.stored, h.snapshot = false, 0, nil, nil, nil, nil
 	started := s.local(h)
@@ -246,7 +249,7 @@
 	now := s.local(h)
 	s.elect(h, now)
 	s.lead(h, now)
-	if s.unchecked {
+	if s.unchecked && s.chance(0.4) {
 		s.fetchSnapshot(h, now)
 	}
 	s.request(h, now)
@@ -258,11 +261,9 @@
 	switch {
 	case leads && !now.Before(h.renewAt):
 	case !leads && !now.Before(h.tryAt) && (holder == "" || holder == h.name):
-		if term := h.candidate.StepDown(); term != 0 {
-			s.askWitnesses(h, &peerpb.PromiseRequest{Candidate: string(h.name), Term: uint64(term), RecordVersion: 1, Release: true})
-		}
-		h.candidate.Campaign(now.Add(h.wall), s.random.Uint64())
-		h.tryAt = now.Add(150*time.Millisecond + s.upTo(200*time.Millisecond))
+		term := h.candidate.Campaign(now.Add(h.wall), s.random.Uint64())
+		h.tryAt = now.Add(campaignLimit + s.upTo(4*campaignLimit))
+		s.atHost(h, campaignLimit, func() { s.giveUp(h, term) })
 	default:
 		return
 	}
@@ -270,6 +271,15 @@
 	s.askWitnesses(h, h.candidate.Request())
 }
 
+// giveUp releases the promises of a campaign that has not succeeded.
+func (s *schedule) giveUp(h *simHost, term topology.Term) {
+	if _, _, leads := h.candidate.Authority(s.local(h)); leads || topology.Term(h.candidate.Request().GetTerm()) != term {
+		return
+	}
+	h.candidate.StepDown()
+	s.askWitnesses(h, &peerpb.PromiseRequest{Candidate: string(h.name), Term: uint64(term), RecordVersion: 1, Release: true})
+}
+
 func (s *schedule) askWitnesses(h *simHost, request *peerpb.PromiseRequest) {
 	sentAt := s.local(h)
 	for _, w := range s.hosts {
@@ -293,7 +303,10 @@
 
 // holds is the guard that stands before everything a leader does.
 func (s *schedule) holds(h *simHost) bool {
-	term, _, ok := h.candidate.Authority(s.local(h))
+	term, until, ok := h.candidate.Authority(s.local(h))
+	if ok {
+		s.checker.Led(epoch.Add(s.now), h.name, epoch.Add(h.clock.trueTime(until.Sub(epoch))))
+	}
 	if s.variant.noAuthority && h.ledger != nil && !ok {
 		return true
 	}
@@ -319,6 +332,7 @@
 	if term := h.ledger.Superseded(); term != 0 {
 		h.candidate.Observe(term)
 		h.candidate.StepDown()
+		s.checker.Led(epoch.Add(s.now), h.name, epoch)
 		h.ledger = nil
 	}
 }
