Keep retries to a new owner within the budget as well

A request whose outcome is unknown loads the new owner like any other retry. Tests cover uploads that outlast the stall bound and partly sent bodies.

--- a/internal/proxy/fault_test.go
+++ b/internal/proxy/fault_test.go
@@ -167,6 +167,26 @@
 	}
 }
 
+// Guards against a long body that is sent on from its middle after a refusal.
+func TestPartlySentBodyIsNotResent(t *testing.T) {
+	old := newFake(t, func(c *call) {
+		r, err := http.ReadRequest(c.in)
+		if err != nil {
+			return
+		}
+		_, _ = io.CopyN(io.Discard, r.Body, 100<<10)
+		c.r = r
+		write(notOwner)(c)
+	})
+	other := newFake(t, ok("done"))
+	h := newHarness(t, nil, old, other)
+	answer, body, err := h.do(t, "POST", "/free/book", strings.NewReader(strings.Repeat("x", 200<<10)))
+	assert.NilError(t, err)
+	kind, executed := problem(t, answer, body)
+	assert.Equal(t, kind+" "+executed, "not-owner no")
+	assert.Equal(t, other.executions(), 0)
+}
+
 // Guards against answers without a body that are held for broken, or that lose
 // the length they announce.
 func TestAnswersWithoutBody(t *testing.T) {
--- a/internal/proxy/guard_test.go
+++ b/internal/proxy/guard_test.go
@@ -43,12 +43,13 @@
 		executions   int // of six sendings to four upstreams
 		millis       string
 		last         string
+		rotate       bool // each upstream gets one sending
 	}{
-		{"crash", "POST", 0, crash, 2, "10000", "quarantined no"},
-		{"crash of a lookup that is retried", "GET", 40, crash, 2, "10000", "quarantined no"},
-		{"one connection broken", "POST", 0, reset, 6, "10000", "upstream-failed unknown"},
-		{"deadline passed", "POST", 0, stall, 6, "200", "timeout unknown"},
-		{"deadline passed at an upstream that drains", "POST", 0, then(closeListener, stall), 4, "200", "no-upstream no"},
+		{"crash", "POST", 0, crash, 2, "10000", "quarantined no", false},
+		{"crash of a lookup that is retried", "GET", 40, crash, 2, "10000", "quarantined no", false},
+		{"one connection broken", "POST", 0, reset, 6, "10000", "upstream-failed unknown", false},
+		{"deadline passed", "POST", 0, stall, 6, "200", "timeout unknown", false},
+		{"deadline passed at an upstream that drains", "POST", 0, then(closeListener, stall), 4, "200", "no-upstream no", true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -72,6 +73,9 @@
 			last := ""
 			for range 6 {
 				last = send("bad", "/free/doc")
+				if c.rotate && len(h.admitter.servers) > 0 {
+					h.admitter.servers = h.admitter.servers[1:]
+				}
 			}
 			total := 0
 			for _, f := range fakes {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -67,7 +67,7 @@
 type avoidance struct {
 	owner    routing.Owner
 	until    time.Time // zero: only another owner can help
-	budgeted bool      // trying the same owner again takes from the retry budget
+	budgeted bool      // sending again takes from the retry budget
 	err      error
 }
 
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -29,16 +29,21 @@
 		var retryAt time.Time
 		switch owner.State {
 		case routing.StateServed:
-			if q.avoid.err == nil || owner != q.avoid.owner {
+			if q.avoid.err == nil {
 				return owner, nil
 			}
 			err, retryAt = q.avoid.err, q.avoid.until
-			if !retryAt.IsZero() && !now.Before(retryAt) {
+			changed := owner != q.avoid.owner
+			if changed || !retryAt.IsZero() && !now.Before(retryAt) {
 				if !q.avoid.budgeted || q.service.budget.Allow(now) {
+					q.avoid = avoidance{}
 					return owner, nil
 				}
-				// Without budget only another owner can help.
-				retryAt = time.Time{}
+				if changed {
+					return owner, err
+				}
+				// The budget may allow it later.
+				retryAt = now.Add(retryLimit)
 			}
 		case routing.StateWaiting:
 			err = apierror.New(apierror.KindNoOwner, "the key's range is without an owner")
--- a/internal/proxy/wait_test.go
+++ b/internal/proxy/wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -33,6 +34,8 @@
 	// answers replaces a server's answer, or with "refused" its connections.
 	answers map[string]string
 	stall   bool
+	// answerTime is how long an answer takes.
+	answerTime time.Duration
 	// dialTime is how long a connection takes to open.
 	dialTime time.Duration
 }
@@ -80,16 +83,20 @@
 		}
 		_, _ = io.Copy(io.Discard, r.Body) // a pipe holds no unread body
 		status := v.answer(name)
-		if status == "" {
-			status = "200 OK"
+		if status == "" || status == "broken" {
+			status = cmp.Or(status, "200 OK")
 			v.mu.Lock()
 			v.runs = append(v.runs, name+" "+r.Header.Get(headerFencingToken)+" "+r.Header.Get(headerDeadline))
 			v.mu.Unlock()
 		}
+		if status == "broken" {
+			return
+		}
 		if v.stall {
 			_, _ = in.Peek(1) // returns when the handler closes the connection
 			return
 		}
+		time.Sleep(v.answerTime)
 		fmt.Fprintf(conn, "HTTP/1.1 %s\r\nCassiasill-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", status, r.Header.Get("Cassiasill-Request-Id"))
 	}
 }
@@ -158,6 +165,25 @@
 			time.AfterFunc(second/10, func() { v.routes.set(served("s0", 2)) })
 		}, nil, "200", second / 5, second, "s0 7.2 9800"},
 		{"owner is lost for good", func(v *virtual) { v.setAnswer("s0", "refused") }, nil, "502 upstream-refused no", 3 * second, 3 * second, ""},
+		{"lookup breaks, without budget", func(v *virtual) {
+			v.services["keyed"].Routes[0].Repeatable = true
+			v.setAnswer("s0", "broken")
+		}, nil, "502 upstream-failed unknown", 3 * second, 3 * second, "s0 7.1 10000"},
+		{"lookup breaks and moves, without budget", func(v *virtual) {
+			v.services["keyed"].Routes[0].Repeatable = true
+			v.setAnswer("s0", "broken")
+			time.AfterFunc(second, func() { v.routes.set(served("s1", 2)) })
+		}, nil, "502 upstream-failed unknown", second, second, "s0 7.1 10000"},
+		{"lookup breaks and moves, with budget", func(v *virtual) {
+			v.services["keyed"].Routes[0].Repeatable = true
+			v.setAnswer("s0", "broken")
+			time.AfterFunc(second, func() {
+				for range 20 {
+					v.services["keyed"].budget.Request(time.Now())
+				}
+				v.routes.set(served("s1", 2))
+			})
+		}, nil, "200", second, second, "s0 7.1 10000,s1 7.2 9000"},
 		{"upstream is too slow", func(v *virtual) { v.stall = true }, nil, "504 timeout unknown", 10 * second, 10 * second, "s0 7.1 10000"},
 		{"longest deadline", func(v *virtual) { v.stall = true }, []string{headerTimeout, "3600000"},
 			"504 timeout unknown", 30 * second, 30 * second, "s0 7.1 30000"},
@@ -202,3 +228,38 @@
 		}
 	})
 }
+
+// pipes is a listener whose connections are pipes, for servers on a virtual
+// clock.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	if c, ok := <-p; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+func (p pipes) Close() error   { close(p); return nil }
+func (p pipes) Addr() net.Addr { return &net.UnixAddr{} }
+
+// Guards against a long upload whose caller counts as gone because the bound
+// on the upload's stalls goes on after its end.
+func TestAnswerAfterLongUpload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newVirtual(t, Limits{StallTime: time.Second, BodyBytes: 10})
+		v.answerTime = 5 * time.Second
+		listener := make(pipes)
+		server := &http.Server{Handler: v}
+		go func() { _ = server.Serve(listener) }()
+		defer server.Close()
+		near, far := net.Pipe()
+		defer near.Close()
+		listener <- far
+		go func() {
+			fmt.Fprintf(near, "POST /keyed/k HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n%s", strings.Repeat("x", 100))
+		}()
+		answer, err := http.ReadResponse(bufio.NewReader(near), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, answer.StatusCode, 200)
+	})
+}
