--- a/internal/declaration/declaration_test.go
+++ b/internal/declaration/declaration_test.go
@@ -145,7 +145,8 @@
 	document("KeyLabels", "brass", `service: finishes, pattern: "*-BR?SS", labels: {metal: brass}`) +
 	document("OwnershipRule", "absorbed-on-big", `service: finishes, keys: catalogue=absorbed, servers: size=big`) +
 	document("OwnershipRule", "brass-in-zone-0", `service: finishes, keys: metal=brass, servers: cassiasill/availability-zone=zone-0`) +
-	document("ServingRule", "trade", `service: orders, callers: channel=trade, servers: "cassiasill/server in (ord-0,ord-2)"`)
+	document("ServingRule", "trade", `service: orders, callers: channel=trade, servers: "cassiasill/server in (ord-0,ord-2)"`) +
+	document("ServingRule", "zone", `service: orders, callers: cassiasill/caller=shop-2, servers: cassiasill/server!=ord-0`)
 
 // Guards against keys or callers reaching servers that the rules exclude, and
 // against drained servers being eligible.
@@ -166,7 +167,8 @@
 		assert.Equal(t, fmt.Sprint(eligible), want, "explanation of %s differs", key)
 	}
 	assert.Equal(t, fmt.Sprint(set.MayServe("orders", "shop-1")), "[ord-0]")
-	assert.Equal(t, fmt.Sprint(set.MayServe("orders", "shop-2")), "[ord-0 ord-1]")
+	assert.Equal(t, fmt.Sprint(set.MayServe("orders", "shop-2")), "[ord-1]")
+	assert.Equal(t, fmt.Sprint(set.MayServe("orders", "shop-3")), "[ord-0 ord-1]")
 	e, _ := set.ExplainKey("finishes", "KOF-1")
 	text := fmt.Sprint(e)
 	for _, want := range []string{"is drained by ServerLabels/drained", "OwnershipRule/absorbed-on-big requires size=big, found no label size", "KeyLabels/absorbed"} {
@@ -203,7 +205,7 @@
 		{"matches nothing", document("OwnershipRule", "r", `service: finishes, servers: sise=big`), `warning matches none of the 4 servers of finishes; no label sise (did you mean "size"?)`},
 		{"keys match nothing", document("OwnershipRule", "r", `service: finishes, keys: catalog=x, servers: size=big`), `warning selects by a label or value that no key has; no label catalog (did you mean "catalogue"?)`},
 		{"value of no server", document("OwnershipRule", "r", `service: finishes, servers: cassiasill/availability-zone=zne-1`), `no cassiasill/availability-zone=zne-1 (did you mean "zone-1"?)`},
-		{"too many rules", manyRules(maxServingRules), "would have 257 serving rules, the limit is 256"},
+		{"too many rules", manyRules(maxServingRules - 1), "would have 257 serving rules, the limit is 256"},
 		{"no server left", "", "warning keys of KeyLabels"},
 	} {
 		var found []string
