--- a/internal/netfault/netfault.go
+++ b/internal/netfault/netfault.go
@@ -16,8 +16,27 @@
 // errKilled is returned by operations on a killed network.
 var errKilled = errors.New("netfault: the process is dead")
 
+// Base is the network beneath a Network.
+type Base interface {
+	Listen(ctx context.Context, address string) (net.Listener, error)
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// machine is the machine's own network.
+type machine struct{ net.Dialer }
+
+func (*machine) Listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(ctx, "tcp", address)
+}
+
+func (m *machine) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return m.DialContext(ctx, network, address)
+}
+
 // Network is the network as one process sees it.
 type Network struct {
+	base Base
 	// latency returns the one-way latency to a remote address; nil means none.
 	latency func(remote string) time.Duration
 
@@ -29,11 +48,14 @@
 	listens map[net.Listener]struct{}
 }
 
-// New returns a working network.
-func New(latency func(remote string) time.Duration) *Network {
+// New returns a working network over the machine's own.
+func New(latency func(remote string) time.Duration) *Network { return NewOver(&machine{}, latency) }
+
+// NewOver returns a working network over base.
+func NewOver(base Base, latency func(remote string) time.Duration) *Network {
 	open := make(chan struct{})
 	close(open)
-	return &Network{latency: latency, open: open, conns: make(map[*conn]struct{}), listens: make(map[net.Listener]struct{})}
+	return &Network{base: base, latency: latency, open: open, conns: make(map[*conn]struct{}), listens: make(map[net.Listener]struct{})}
 }
 
 // Block holds back all traffic until Unblock.
@@ -79,8 +101,7 @@
 
 // Listen listens on a TCP address.
 func (n *Network) Listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	l, err := config.Listen(ctx, "tcp", address)
+	l, err := n.base.Listen(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -99,8 +120,7 @@
 	if err := n.wait(ctx); err != nil {
 		return nil, err
 	}
-	var dialer net.Dialer
-	c, err := dialer.DialContext(ctx, network, address)
+	c, err := n.base.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -62,6 +62,9 @@
 	// reading is the offset plus (1 + drift) times the time since the start.
 	ClockOffset time.Duration
 	ClockDrift  float64
+	// OnOwnership, if not nil, is told what the server holds after each
+	// heartbeat and at each crash. It must not call the server.
+	OnOwnership func(Ownership)
 	// Listen replaces net.Listen.
 	Listen func(network, address string) (net.Listener, error)
 }
@@ -247,6 +250,7 @@
 	for execution := range in.executing {
 		in.end(execution, false)
 	}
+	s.report()
 	close(in.dead)
 	s.resume()
 	if in.http != nil {
@@ -342,6 +346,16 @@
 func (s *Server) Owned() Ownership {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.owned()
+}
+
+func (s *Server) report() {
+	if s.options.OnOwnership != nil {
+		s.options.OnOwnership(s.owned())
+	}
+}
+
+func (s *Server) owned() Ownership {
 	out := Ownership{Server: s.options.Name, Service: s.options.Service}
 	if in := s.current; in != nil {
 		held, end := in.grants.Held()
@@ -374,7 +388,9 @@
 		return granter.Reply{}, false
 	}
 	defer s.mu.Unlock()
-	return in.grants.Apply(heartbeat, s.clock(in)), true
+	reply := in.grants.Apply(heartbeat, s.clock(in))
+	s.report()
+	return reply, true
 }
 
 // clock returns the monotonic clock of the incarnation.
