--- a/internal/netfault/netfault.go
+++ b/internal/netfault/netfault.go
@@ -5,14 +5,21 @@
 package netfault
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"os"
 	"sync"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
+// sendBuffer is how many bytes a connection takes before writes wait.
+const sendBuffer = 64 << 10
+
 // errKilled is returned by operations on a killed network.
 var errKilled = errors.New("netfault: the process is dead")
 
@@ -36,7 +43,8 @@
 
 // Network is the network as one process sees it.
 type Network struct {
-	base Base
+	base  Base
+	group conc.WaitGroup // goroutines that empty send buffers
 	// latency returns the one-way latency to a remote address; nil means none.
 	latency func(remote string) time.Duration
 
@@ -94,9 +102,10 @@
 		if tcp, ok := c.Conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
-		_ = c.Conn.Close()
+		_ = c.abort()
 	}
 	n.Unblock()
+	n.group.Wait()
 }
 
 // Listen listens on a TCP address.
@@ -134,7 +143,7 @@
 		_ = c.Close()
 		return nil, errKilled
 	}
-	wrapped := &conn{Conn: c, network: n, closed: make(chan struct{})}
+	wrapped := &conn{Conn: c, network: n, closed: make(chan struct{}), space: make(chan struct{})}
 	if n.latency != nil {
 		wrapped.latency = n.latency(c.RemoteAddr().String())
 	}
@@ -182,6 +191,17 @@
 
 	mu                          sync.Mutex
 	readDeadline, writeDeadline time.Time
+	queue                       []segment
+	queued                      int
+	flushing, closing           bool
+	failed                      error
+	space                       chan struct{} // closed when bytes have left the queue
+}
+
+// segment is data in the send buffer that arrives when it is due.
+type segment struct {
+	data []byte
+	due  time.Time
 }
 
 func (c *conn) Read(p []byte) (int, error) {
@@ -192,14 +212,86 @@
 	return n, err
 }
 
+// Write puts p into the send buffer and waits only if that is full, as a socket
+// does: a write that slept with a lock held would stop the virtual clock.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.latency > 0 {
-		time.Sleep(c.latency)
+	var expired <-chan time.Time
+	if deadline := c.deadline(true); !deadline.IsZero() {
+		timer := time.NewTimer(time.Until(deadline))
+		defer timer.Stop()
+		expired = timer.C
+	}
+	for {
+		c.mu.Lock()
+		if c.failed != nil || c.closing {
+			defer c.mu.Unlock()
+			return 0, cmp.Or(c.failed, net.ErrClosed)
+		}
+		if c.queued < sendBuffer {
+			break
+		}
+		space := c.space
+		c.mu.Unlock()
+		select {
+		case <-space:
+		case <-c.closed:
+			return 0, net.ErrClosed
+		case <-expired:
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+	defer c.mu.Unlock()
+	c.queue = append(c.queue, segment{bytes.Clone(p), time.Now().Add(c.latency)})
+	c.queued += len(p)
+	if !c.flushing {
+		c.flushing = true
+		c.network.group.Go(c.flush)
+	}
+	return len(p), nil
+}
+
+// flush sends what is in the send buffer, each segment when it is due and
+// traffic may pass.
+func (c *conn) flush() {
+	for {
+		c.mu.Lock()
+		if len(c.queue) == 0 || c.failed != nil {
+			c.flushing = false
+			closing := c.closing
+			c.mu.Unlock()
+			if closing {
+				c.abort()
+			}
+			return
+		}
+		next := c.queue[0]
+		c.queue = c.queue[1:]
+		c.mu.Unlock()
+		err := c.send(next)
+		c.mu.Lock()
+		c.failed = cmp.Or(c.failed, err)
+		c.queued -= len(next.data)
+		close(c.space)
+		c.space = make(chan struct{})
+		c.mu.Unlock()
+	}
+}
+
+func (c *conn) send(s segment) error {
+	if wait := time.Until(s.due); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-c.closed:
+			return net.ErrClosed
+		}
 	}
-	if err := c.hold(c.deadline(true)); err != nil {
-		return 0, err
+	if err := c.hold(time.Time{}); err != nil {
+		return err
 	}
-	return c.Conn.Write(p)
+	_, err := c.Conn.Write(s.data)
+	return err
 }
 
 // hold waits until traffic may pass, the deadline or the connection's end.
@@ -241,7 +333,7 @@
 	c.mu.Lock()
 	c.readDeadline, c.writeDeadline = t, t
 	c.mu.Unlock()
-	return c.Conn.SetDeadline(t)
+	return c.Conn.SetReadDeadline(t)
 }
 
 func (c *conn) SetReadDeadline(t time.Time) error {
@@ -253,12 +345,27 @@
 
 func (c *conn) SetWriteDeadline(t time.Time) error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.writeDeadline = t
-	c.mu.Unlock()
-	return c.Conn.SetWriteDeadline(t)
+	return nil
 }
 
+// Close ends the connection when what was written has been sent, as a socket
+// does.
 func (c *conn) Close() error {
+	c.mu.Lock()
+	c.closing = true
+	flushing := c.flushing
+	c.mu.Unlock()
+	if flushing {
+		// Reads end now; the rest is sent to a peer that may still read.
+		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return c.abort()
+}
+
+// abort ends the connection at once.
+func (c *conn) abort() error {
 	c.closeOnce.Do(func() { close(c.closed) })
 	c.network.mu.Lock()
 	delete(c.network.conns, c)
