--- a/internal/ownership/exchange.go
+++ b/internal/ownership/exchange.go
@@ -132,15 +132,19 @@
 	s.contacted, s.incarnation = true, reply.Incarnation
 	s.confirmed, s.version, s.dirty = reply.Held.Version, reply.Held.Version, false
 	l.raise(reply.Held.Version)
+	var taken []topology.Range
 	left := reply.End - reply.Clock
-	if left <= 0 && !l.faults.adoptExpiredSet {
-		// The set has ended. It must not be renewed: its ranges may have gone
-		// to another server since.
-		return
+	if left > 0 || l.faults.adoptExpiredSet {
+		s.until = now.Add(granter.WithMargin(left))
+		taken = l.take(now, s, reply.Held.Ranges, phaseHeld)
+	}
+	// A set that has ended must not be renewed: its ranges may have gone to
+	// another server since. Released requests that still run are waited for
+	// all the same, where no other server was given the range.
+	if len(l.take(now, s, reply.Draining, phaseReleasing)) > 0 {
+		l.extend(now, s)
+		s.dirty = true // a new set replaces the one that may have ended
 	}
-	s.until = now.Add(granter.WithMargin(left))
-	taken := l.take(now, s, reply.Held.Ranges, phaseHeld)
-	l.take(now, s, reply.Draining, phaseReleasing)
 	for _, g := range s.segments {
 		if g.phase == phaseReleasing {
 			g.since = s.confirmed
@@ -160,7 +164,7 @@
 	for _, r := range topology.NormalizeRanges(ranges) {
 		for _, g := range l.carve(r) {
 			if g.holder != nil {
-				if g.holder != s {
+				if g.holder != s && p == phaseHeld {
 					s.dirty = true
 					l.note(Event{Kind: EventConflict, Server: s.Name, To: g.holder.Name, Ranges: []topology.Range{g.bounds}})
 				}
--- a/internal/ownership/fakes_test.go
+++ b/internal/ownership/fakes_test.go
@@ -29,6 +29,7 @@
 	draining    []topology.Range
 	drainEnd    time.Duration
 	drainFor    time.Duration // how long released requests go on
+	orphaned    bool          // the set ended while released requests ran
 	faults      serverFaults
 }
 
@@ -63,10 +64,12 @@
 	case h.End > clock+granter.GrantTTL:
 		return granter.RefusalEnd
 	}
+	s.orphaned = s.orphaned || clock >= s.end
 	if h.Set != nil && h.Set.Version != s.held.Version {
 		if clock < s.end && s.drainFor > 0 {
 			s.draining = topology.SubtractRanges(s.held.Ranges, h.Set.Ranges)
 			s.drainEnd = clock + s.drainFor
+			s.orphaned = false
 		}
 		s.held = *h.Set
 	}
@@ -77,6 +80,16 @@
 	return granter.RefusalNone
 }
 
+// owned returns what counts as owned: the set, and released ranges whose
+// requests still run. Requests that outlast their grant's end run on without
+// it; nobody can wait for those of a lost server.
+func (s *fakeServer) owned() []topology.Range {
+	if s.orphaned {
+		return s.held.Ranges
+	}
+	return slices.Concat(s.held.Ranges, s.draining)
+}
+
 // accepts reports whether the server takes a request under token.
 func (s *fakeServer) accepts(clock time.Duration, h topology.Hash, token topology.Version) bool {
 	return clock < s.end && topology.FindRange(s.held.Ranges, h) >= 0 && !s.held.Version.Newer(token)
