--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -221,6 +221,9 @@
 	record, early := e.witness.Record(), e.notBefore.Sub(now)
 	jitter := time.Duration(e.random.Int64N(int64(electionJitter)))
 	waiting := e.witness.Waiting(now)
+	if holder != "" && holder != e.self {
+		e.attempts = 0
+	}
 	e.mu.Unlock()
 	switch {
 	case waiting || record.Version == 0:
--- a/internal/ownership/exchange.go
+++ b/internal/ownership/exchange.go
@@ -90,7 +90,7 @@
 		return // answered before a reply that is already known
 	}
 	s.clock, s.readAt = reply.Clock, now
-	s.leaving, s.running = reply.Leaving, reply.InFlight
+	s.leaving, s.running = reply.Leaving || s.unlisted, reply.InFlight
 	if !s.contacted {
 		l.adopt(now, s, reply)
 		return
--- a/internal/ownership/ledger.go
+++ b/internal/ownership/ledger.go
@@ -66,6 +66,7 @@
 	pending   int  // segments granting or releasing
 	segments  []*segment
 	leaving   bool
+	unlisted  bool // no longer in the settings
 	running   int
 	sentAt    time.Time
 	busy      bool // a heartbeat is outstanding
@@ -151,14 +152,15 @@
 	for _, desc := range servers {
 		listed[desc.Name] = true
 		if s, ok := l.byName[desc.Name]; ok {
-			s.Server = desc
+			s.Server, s.unlisted = desc, false
 			continue
 		}
 		l.addServer(desc)
 	}
 	l.servers = slices.DeleteFunc(l.servers, func(s *server) bool {
 		if listed[s.Name] || len(s.segments) > 0 {
-			s.leaving = s.leaving || !listed[s.Name]
+			s.unlisted = !listed[s.Name]
+			s.leaving = s.leaving || s.unlisted
 			return false
 		}
 		delete(l.byName, s.Name)
