Cut the reply link exactly when the release is sent

The case 'release answer lost' could lift the cut before the planner was asked and then tested nothing; it now also asserts that the release is retried.

--- a/internal/ownership/cluster_promises_test.go
+++ b/internal/ownership/cluster_promises_test.go
@@ -17,6 +17,7 @@
 	mu    sync.Mutex
 	ready bool
 	asked []Move
+	onAsk func()
 }
 
 func (p *onePlan) start() {
@@ -41,6 +42,9 @@
 	for _, other := range in.Servers {
 		if other.Name != s.Owner && other.Live {
 			p.asked = append(p.asked, Move{Range: s.Range, From: s.Owner, To: other.Name})
+			if p.onAsk != nil {
+				p.onAsk()
+			}
 			return p.asked
 		}
 	}
@@ -175,12 +179,17 @@
 			c.wait(4 * time.Second)
 		}},
 		{"release answer lost", 6, false, unservedTarget, func(c *cluster, plan *onePlan) {
-			plan.start()
 			link := string(c.assignment().Slices[3].Owner) + ">" + string(c.leader())
-			c.set(func() { c.cut[link] = true })
-			c.wait(700 * time.Millisecond)
+			plan.onAsk = func() { c.set(func() { c.cut[link] = true }) }
+			plan.start()
+			for cut := false; !cut; c.set(func() { cut = c.cut[link] }) {
+				c.wait(50 * time.Millisecond)
+			}
+			c.wait(500 * time.Millisecond)
+			assert.Assert(c.t, c.owner(plan.move().Range.First) != plan.move().To, "a release that was not answered counts")
 			c.set(func() { delete(c.cut, link) })
-			c.wait(5 * time.Second)
+			c.wait(2 * time.Second)
+			assert.Equal(c.t, c.owner(plan.move().Range.First), plan.move().To, "the release was not retried")
 		}},
 		{"drain takes too long", 6, false, unservedTarget, func(c *cluster, plan *onePlan) {
 			c.set(func() {
