--- a/internal/proxy/fault_test.go
+++ b/internal/proxy/fault_test.go
@@ -87,6 +87,7 @@
 			switch {
 			case c.kind == "503":
 				assert.Equal(t, answer.StatusCode, 503)
+				assert.Equal(t, answer.Header.Get(apierror.HeaderExecuted), "", "claimed without proof")
 			case c.executed == "":
 				assert.Equal(t, body, "done")
 			default:
