Share suspicions between hosts and give callers' server its limits

quarantine.Table.Share publishes and imports over the peersync bus; Handler.NewServer returns the http.Server with bounds on headers and idleness.

--- a/internal/proxy/fakes_test.go
+++ b/internal/proxy/fakes_test.go
@@ -282,7 +282,9 @@
 		change(&options)
 	}
 	h.Handler = New(options)
-	h.server = httptest.NewServer(h.Handler)
+	h.server = httptest.NewUnstartedServer(nil)
+	h.server.Config = h.NewServer()
+	h.server.Start()
 	t.Cleanup(h.server.Close)
 	return h
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -25,6 +25,15 @@
 	"github.com/cassiasill/cassiasill/internal/topology"
 )
 
+const (
+	// headerTime bounds the arrival of a request's header, so that slow
+	// senders don't hold connections.
+	headerTime = 10 * time.Second
+	// callerIdleTime closes unused connections of callers; it is above that of
+	// common balancers, which then close first.
+	callerIdleTime = 2 * time.Minute
+)
+
 // Handler serves callers' requests. It implements http.Handler.
 type Handler struct {
 	options  Options
@@ -83,6 +92,15 @@
 	return h
 }
 
+// NewServer returns the server that callers connect to. It leaves refusals of
+// large headers to the handler, which answers them like any other error.
+func (h *Handler) NewServer() *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: callerIdleTime,
+		MaxHeaderBytes: 2 * h.limits.HeaderBytes, ErrorLog: zap.NewStdLog(h.log.Named("proxy")),
+	}
+}
+
 // newRouter returns a router that passes every method and never rewrites a
 // path: an upstream must see the path that the key was taken from.
 func newRouter(serve httprouter.Handle) *httprouter.Router {
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -1,11 +1,14 @@
 package quarantine
 
 import (
+	"context"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
+	"github.com/cassiasill/cassiasill/internal/peersync"
 	"github.com/cassiasill/cassiasill/internal/topology"
 )
 
@@ -86,6 +89,44 @@
 	return nil
 }
 
+// Share publishes this host's entries on the bus and imports those of its peers
+// until ctx ends. Report receives what cannot be decoded.
+func (t *Table) Share(ctx context.Context, host topology.HostName, bus peersync.Bus, report func(error)) {
+	var published topology.Version
+	for {
+		// The channels are taken before the look, so no change is missed.
+		own, peers := t.Changed(), bus.Changed(TopicPrefix)
+		now := time.Now()
+		if version, payload, err := t.Export(now); err != nil {
+			report(err)
+		} else if version.Sequence > published.Sequence {
+			bus.Publish(peersync.Topic{Name: TopicPrefix + string(host), Version: version, Payload: payload})
+			published = version
+		}
+		for _, topic := range bus.List(TopicPrefix) {
+			peer := topology.HostName(strings.TrimPrefix(topic.Name, TopicPrefix))
+			if peer == host || !t.newer(peer, topic.Version) {
+				continue
+			}
+			if err := t.Import(peer, topic.Version, topic.Payload, now); err != nil {
+				report(err)
+			}
+		}
+		select {
+		case <-own:
+		case <-peers:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (t *Table) newer(host topology.HostName, version topology.Version) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return version.Newer(t.peers[host].version)
+}
+
 // Forget drops what a peer reported; it is called for hosts that are gone.
 func (t *Table) Forget(host topology.HostName) {
 	t.mu.Lock()
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -1,14 +1,20 @@
 package quarantine
 
 import (
+	"context"
 	"fmt"
+	"maps"
+	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
+	"github.com/cassiasill/cassiasill/internal/peersync"
 	"github.com/cassiasill/cassiasill/internal/topology"
-	"pgregory.net/rapid"
 )
 
 var (
@@ -109,6 +115,68 @@
 	assert.ErrorContains(t, here.Import("x", topology.Version{Term: 1}, []byte("{"), epoch), "decode")
 }
 
+// bus is a peersync.Bus that all hosts of a test share.
+type bus struct {
+	mu      sync.Mutex
+	topics  map[string]peersync.Topic
+	changed chan struct{}
+}
+
+func (b *bus) Publish(topic peersync.Topic) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !topic.Version.Newer(b.topics[topic.Name].Version) {
+		return false
+	}
+	b.topics[topic.Name] = topic
+	close(b.changed)
+	b.changed = make(chan struct{})
+	return true
+}
+
+func (b *bus) Get(name string) (peersync.Topic, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	topic, ok := b.topics[name]
+	return topic, ok
+}
+
+func (b *bus) List(string) []peersync.Topic {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Collect(maps.Values(b.topics))
+}
+
+func (b *bus) Changed(string) <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+// Guards against suspicions, and their end, that never reach the other hosts.
+func TestShareOverBus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bus{topics: map[string]peersync.Topic{}, changed: make(chan struct{})}
+		var loops sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		tables := map[topology.HostName]*Table{"h1": New(1, 0), "h2": New(1, 0)}
+		for host, table := range tables {
+			loops.Go(func() { table.Share(ctx, host, b, func(err error) { t.Error(err) }) })
+		}
+		now := time.Now()
+		run(t, tables["h1"], "a", Crashed, now)
+		synctest.Wait()
+		refused, _ := tables["h2"].Check(bad, now)
+		assert.Assert(t, refused)
+		run(t, tables["h1"], "b", Completed, now)
+		synctest.Wait()
+		refused, _ = tables["h2"].Check(bad, now)
+		assert.Assert(t, !refused)
+		cancel()
+		loops.Wait()
+	})
+}
+
 // Guards against more than two servers lost to one fingerprint on a host under
 // any order of attempts, and against memory that grows with their number.
 func TestNeverMoreThanTwoServersLost(t *testing.T) {
