--- a/internal/proxy/fakes_test.go
+++ b/internal/proxy/fakes_test.go
@@ -57,6 +57,7 @@
 type admitter struct {
 	servers []topology.ServerName
 	before  func() // called before each decision
+	rotate  bool   // prefer the next server each time
 
 	mu       sync.Mutex
 	open     int
@@ -72,6 +73,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.rotate {
+		a.servers = append(a.servers[1:], a.servers[0])
+	}
 	for _, s := range a.servers {
 		if (r.Server == "" || r.Server == s) && !slices.Contains(exclude, s) {
 			a.open++
--- a/internal/proxy/guard_test.go
+++ b/internal/proxy/guard_test.go
@@ -89,6 +89,38 @@
 	}
 }
 
+// Guards against equal requests in flight on more servers at a time than one
+// of them may take down, and against such requests that get no answer.
+func TestEqualRequestsAreNotSpread(t *testing.T) {
+	const requests = 6
+	arrived, release := make(chan *fakeUpstream, requests), make(chan struct{})
+	hold := func(c *call) {
+		c.read()
+		arrived <- c.up
+		<-release
+		write("HTTP/1.1 200 OK\nID\nContent-Length: 4\n\ndone")(c)
+	}
+	h := newHarness(t, func(o *Options) { o.Quarantine = quarantine.New(1, 0) }, newFake(t, hold), newFake(t, hold), newFake(t, hold))
+	h.admitter.rotate = true
+	bodies := make(chan string, requests)
+	for range requests {
+		go func() {
+			_, body, err := h.do(t, "GET", "/free/doc", nil)
+			bodies <- fmt.Sprint(body, err)
+		}()
+	}
+	used := map[*fakeUpstream]bool{}
+	for range requests {
+		used[<-arrived] = true
+	}
+	close(release)
+	for range requests {
+		assert.Equal(t, <-bodies, "done<nil>")
+	}
+	assert.Equal(t, len(used), quarantine.MaxServers)
+	h.drained(t)
+}
+
 // Guards against crashes that are overlooked because the upstream was restarted
 // at once, and against single broken connections taken for crashes.
 func TestCrashVerdict(t *testing.T) {
