Raise tolerance and price of moves as the budget is used up

Cause: small excesses use up the budget that the next new hot key needs. Change: Policy.Scarcity, 0.15 in full, grows linearly with the used budget.

--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -93,6 +93,7 @@
 	if p.blind || len(p.available) < 2 {
 		return
 	}
+	full := p.in.Budget.capacity() * p.total
 	order := slices.Clone(p.available)
 	byUse := func(a, b int) int {
 		return cmp.Or(cmp.Compare(p.servers[b].utilization(), p.servers[a].utilization()), cmp.Compare(a, b))
@@ -100,14 +101,16 @@
 	slices.SortFunc(order, byUse)
 	for source := 0; source < len(order) && moves > 0 && load > 0; {
 		highest, lowest := &p.servers[order[source]], &p.servers[order[len(order)-1]]
+		used := 1 - load/full
+		scarcity := p.in.Policy.Scarcity * used
 		reason := ReasonBalance
-		if highest.utilization() <= 1+p.tolerance {
+		if highest.utilization() <= 1+p.tolerance+scarcity {
 			reason = ReasonFill
-			if lowest.utilization() >= p.in.Policy.LowWater || highest.utilization() <= 1 {
+			if lowest.utilization() >= p.in.Policy.LowWater-scarcity || highest.utilization() <= 1 {
 				return
 			}
 		}
-		best, ok := p.bestMove(order[source], order[source+1:], load, p.cost)
+		best, ok := p.bestMove(order[source], order[source+1:], load, p.cost+scarcity)
 		if !ok {
 			source++
 			continue
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -24,6 +24,10 @@
 	MergeShare float64
 	// Tolerance is the least excess over the mean that causes moves.
 	Tolerance float64
+	// Scarcity raises tolerance and price as the budget is used up, so that the
+	// rest remains for the largest excesses. It is added in full when nothing
+	// is left.
+	Scarcity float64
 	// ChurnCost and UnavailableCost price the move of one fair share, in units
 	// of squared relative excess, per unit of weight. UnavailableCost is for a
 	// gap of 20 ms.
@@ -55,6 +59,7 @@
 		SplitShare:         0.2,
 		MergeShare:         0.04,
 		Tolerance:          0.05,
+		Scarcity:           0.15,
 		ChurnCost:          0.03,
 		UnavailableCost:    0.03,
 		DeficitWeight:      0.25,
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -107,7 +107,7 @@
 	MoveGap time.Duration
 	// Recent holds the moves of at least the last four budget windows.
 	Recent []RecentMove
-	Policy  Policy
+	Policy Policy
 }
 
 // Reason tells why a move is planned.
