--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -76,7 +76,7 @@
 // averaged over five minutes, because within one minute it would not suffice to
 // move the neighbors of a single new hot key.
 func DefaultBudget() Budget {
-	return Budget{LoadPerMinute: 0.018, Window: 5 * time.Minute, ConcurrentMoves: 8}
+	return Budget{LoadPerMinute: 0.017, Window: 5 * time.Minute, ConcurrentMoves: 8}
 }
 
 // moveCost returns the price of moving one fair share, in units of squared
