Fill underused servers only while the budget is ample

Cause: after the hottest key has left a server, that server is filled up to the low water mark, although no other server is overused. Change: the low water mark falls by three times the scarcity.

--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -106,7 +106,9 @@
 		reason := ReasonBalance
 		if highest.utilization() <= 1+p.tolerance+scarcity {
 			reason = ReasonFill
-			if lowest.utilization() >= p.in.Policy.LowWater-scarcity || highest.utilization() <= 1 {
+			// Filling relieves no overused server, therefore it yields to
+			// scarcity sooner than balancing does.
+			if lowest.utilization() >= p.in.Policy.LowWater-3*scarcity || highest.utilization() <= 1 {
 				return
 			}
 		}
