--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -24,6 +24,10 @@
 	MergeShare float64
 	// Tolerance is the least excess over the mean that causes moves.
 	Tolerance float64
+	// Scarcity raises tolerance and price as the budget is used up, so that the
+	// rest remains for the largest excesses. It is added in full when nothing
+	// is left.
+	Scarcity float64
 	// ChurnCost and UnavailableCost price the move of one fair share, in units
 	// of squared relative excess, per unit of weight. UnavailableCost is for a
 	// gap of 20 ms.
@@ -55,6 +59,7 @@
 		SplitShare:         0.2,
 		MergeShare:         0.04,
 		Tolerance:          0.05,
+		Scarcity:           0.15,
 		ChurnCost:          0.03,
 		UnavailableCost:    0.03,
 		DeficitWeight:      0.25,
@@ -71,7 +76,7 @@
 // averaged over five minutes, because within one minute it would not suffice to
 // move the neighbors of a single new hot key.
 func DefaultBudget() Budget {
-	return Budget{LoadPerMinute: 0.018, Window: 5 * time.Minute, ConcurrentMoves: 8}
+	return Budget{LoadPerMinute: 0.017, Window: 5 * time.Minute, ConcurrentMoves: 8}
 }
 
 // moveCost returns the price of moving one fair share, in units of squared
