--- a/internal/configsync/follower.go
+++ b/internal/configsync/follower.go
@@ -27,9 +27,9 @@
 	// probeRetry is the pause after a probe that failed.
 	probeRetry = 2 * time.Second
 	// peerSilence is how long no peer may answer before the host asks the
-	// store itself. A pull that is held open counts from when it was sent, so
-	// this exceeds the time for which pulls are held open.
-	peerSilence = 2 * time.Second
+	// store itself. A pull counts from when it was sent, so with pulls that are
+	// held open for 1 s the last one that was answered is up to 2 s old.
+	peerSilence = 2200 * time.Millisecond
 	// verifyInterval is how often watchers together tell that they passed on
 	// the head's revision; verifySilence is how long the other hosts do without
 	// that sign. Together with a probe they stay under the 5 s within which a
@@ -51,8 +51,9 @@
 	Watching func() bool
 	// PeerHeard returns when the newest request that a peer has answered was
 	// sent; zero if none was. The time of sending counts, because an answer
-	// may have waited in a socket buffer while this host was paused. On a host
-	// with live peers it must never be older than peerSilence.
+	// may have waited in a socket buffer while this host was paused. It gets as
+	// old as twice the time for which a pull is held open, which must therefore
+	// be at most 1 s for the host to stay within peerSilence and FreshFor.
 	PeerHeard func() time.Time
 	Log       *zap.Logger
 }
