--- a/internal/bench/balance/command.go
+++ b/internal/bench/balance/command.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -169,12 +170,20 @@
 	for _, r := range rows {
 		o := r.Options
 		record := []string{o.Service, strconv.Itoa(o.Hosts), o.Fault, fmt.Sprint(o.Flood), fmt.Sprint(o.Load), o.Policy}
+		load, err := findWorkload(o.Service)
+		if err != nil {
+			return err
+		}
 		for _, c := range columns {
 			mean, spread := r.mean(c.value)
-			record = append(record, strconv.FormatFloat(mean, 'f', 4, 64))
-			if c.spread {
-				record = append(record, strconv.FormatFloat(spread, 'f', 4, 64))
+			cells := []string{strconv.FormatFloat(mean, 'f', 4, 64), strconv.FormatFloat(spread, 'f', 4, 64)}
+			if strings.HasPrefix(c.name, "bookings") && !load.hasBookings() {
+				cells = []string{"", ""}
+			}
+			if !c.spread {
+				cells = cells[:1]
 			}
+			record = append(record, cells...)
 		}
 		if err := w.Write(record); err != nil {
 			return err
--- a/internal/bench/balance/plot.go
+++ b/internal/bench/balance/plot.go
@@ -9,45 +9,64 @@
 	"gonum.org/v1/plot/vg"
 )
 
-// plotRows draws goodput and the share of answered bookings over load, one
-// line per service and number of hosts, as an SVG file.
+// chart collects the points of named lines in the order of their first point.
+type chart struct {
+	names  []string
+	points map[string]plotter.XYs
+}
+
+func (c *chart) add(name string, x, y float64) {
+	if c.points == nil {
+		c.points = map[string]plotter.XYs{}
+	}
+	if _, ok := c.points[name]; !ok {
+		c.names = append(c.names, name)
+	}
+	c.points[name] = append(c.points[name], plotter.XY{X: x, Y: y})
+}
+
+// plotRows writes a picture in the format of the path's extension. Rows with
+// several floods give the share of the other callers' requests that was
+// answered over the flood; others give goodput and answered bookings over load.
 func plotRows(rows []Row, path string) error {
-	type series struct {
-		name   string
-		points plotter.XYs
+	var c chart
+	p := plot.New()
+	p.Y.Min, p.Y.Max = 0, 1.05
+	p.Y.Label.Text = "share"
+	p.Title.Text = "Goodput and answered bookings over offered load"
+	p.X.Label.Text = "offered load / capacity"
+	floods := map[float64]bool{}
+	for _, r := range rows {
+		floods[r.Options.Flood] = true
 	}
-	var all []*series
-	add := func(name string, x, y float64) {
-		for _, s := range all {
-			if s.name == name {
-				s.points = append(s.points, plotter.XY{X: x, Y: y})
-				return
-			}
-		}
-		all = append(all, &series{name, plotter.XYs{{X: x, Y: y}}})
+	if len(floods) > 1 {
+		p.Title.Text = "Other callers' requests answered while one caller floods"
+		p.X.Label.Text = "load of the flooding caller / capacity"
 	}
 	for _, r := range rows {
-		load := r.Options.Load + r.Options.Flood
 		label := fmt.Sprintf("%s, %d hosts, %s", r.Options.Service, r.Options.Hosts, r.Options.Policy)
+		if len(floods) > 1 {
+			answered, _ := r.mean(func(r Result) float64 { return r.Answered })
+			c.add(label, r.Options.Flood, answered)
+			continue
+		}
 		goodput, _ := r.mean(func(r Result) float64 { return r.Goodput })
-		add(label, load, goodput)
-		bookings, _ := r.mean(func(r Result) float64 { return r.Bookings })
+		c.add(label+": goodput", r.Options.Load, goodput)
 		if w, err := findWorkload(r.Options.Service); err == nil && w.hasBookings() {
-			add(label+": bookings answered", load, bookings)
+			bookings, _ := r.mean(func(r Result) float64 { return r.Bookings })
+			c.add(label+": bookings", r.Options.Load, bookings)
 		}
 	}
-	p := plot.New()
-	p.Title.Text = "Goodput and answered bookings over offered load"
-	p.X.Label.Text = "offered load / capacity"
-	p.Y.Label.Text = "share"
-	p.Y.Min, p.Y.Max = 0, 1.05
-	p.Legend.YOffs = vg.Points(20)
-	var lines []any
-	for _, s := range all {
-		lines = append(lines, s.name, s.points)
-	}
-	if err := plotutil.AddLinePoints(p, lines...); err != nil {
-		return err
+	for i, name := range c.names {
+		line, points, err := plotter.NewLinePoints(c.points[name])
+		if err != nil {
+			return err
+		}
+		line.Color, points.Color = plotutil.Color(i), plotutil.Color(i)
+		line.Dashes, points.Shape = plotutil.Dashes(i%5), plotutil.Shape(i)
+		p.Add(line, points)
+		p.Legend.Add(name, line, points)
 	}
-	return p.Save(9*vg.Inch, 6*vg.Inch, path)
+	p.Legend.YOffs = vg.Points(10)
+	return p.Save(10*vg.Inch, 6*vg.Inch, path)
 }
