--- a/cmd/cassiasill-bench/main.go
+++ b/cmd/cassiasill-bench/main.go
@@ -7,6 +7,8 @@
 	"os"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/cassiasill/cassiasill/internal/bench/balance"
 )
 
 // subcommand is one benchmark. Data holds its options and implements
@@ -21,6 +23,7 @@
 	return []subcommand{
 		{"placement", "Compare the planner with baselines on seeded loads", &placementCommand{}},
 		{"slopes", "Measure the planner's time and memory by servers and slices", &slopesCommand{}},
+		{"balance", "Compare load policies under overload, faults and floods", &balance.Command{}},
 		{"control", "Measure what a deployment costs without callers", &controlCommand{}},
 		{"routing", "Measure lookups and snapshot swaps", &routingCommand{}},
 	}
--- a/internal/bench/balance/command.go
+++ b/internal/bench/balance/command.go
@@ -4,17 +4,18 @@
 	"encoding/csv"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/sourcegraph/conc/iter"
 )
 
-// arguments are the options of the command.
-type arguments struct {
+// Command is the command with its options; zero options are not useful, the
+// defaults are in the tags.
+type Command struct {
 	Services []string      `long:"service" description:"service whose load is modelled (repeatable; default all)"`
 	Policies []string      `long:"policy" description:"policy (repeatable; default all)"`
 	Hosts    []int         `long:"hosts" default:"3" default:"12" description:"entry hosts"`
@@ -31,17 +32,11 @@
 	Plot     string        `long:"plot" description:"write goodput over load per policy to this SVG file"`
 }
 
-// Command runs the benchmark with command-line arguments and writes CSV, one
-// row per combination, with the mean of the seeds' runs and their spread.
-func Command(args []string, out io.Writer) error {
-	var a arguments
-	parser := flags.NewNamedParser("balance", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("balance", "", &a); err != nil {
-		return err
-	}
-	if _, err := parser.ParseArgs(args); err != nil {
-		return err
-	}
+// Execute runs the benchmark and writes CSV to standard output, one row per
+// combination, with the mean of the seeds' runs and their spread.
+func (a *Command) Execute([]string) error { return a.write(os.Stdout) }
+
+func (a *Command) write(out io.Writer) error {
 	if len(a.Services) == 0 {
 		for _, w := range workloads {
 			a.Services = append(a.Services, w.name)
@@ -75,7 +70,7 @@
 
 // combinations lists the options of every row. The policy makes no difference
 // to requests that are pinned, so such a service gets one row for all.
-func (a *arguments) combinations() []Options {
+func (a *Command) combinations() []Options {
 	var out []Options
 	for _, service := range a.Services {
 		policies := a.Policies
@@ -100,7 +95,7 @@
 	return out
 }
 
-func (a *arguments) run() ([]Row, error) {
+func (a *Command) run() ([]Row, error) {
 	combinations := a.combinations()
 	rows := make([]Row, len(combinations))
 	type task struct{ row, seed int }
--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -24,10 +24,6 @@
 	// readinessDelay is how long a host that shuts down goes on accepting
 	// requests after it reported not ready, so that the balancer notices first.
 	readinessDelay = 500 * time.Millisecond
-	// readHeaderTimeout bounds connections that never send a request.
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout closes unused connections of callers.
-	idleTimeout = 90 * time.Second
 )
 
 // callersService answers callers.
@@ -136,10 +132,8 @@
 	if wrap := c.host.options.WrapCallers; wrap != nil {
 		handler = wrap(handler)
 	}
-	c.server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: int(c.host.settings.Limits.MaxHeader),
-	}
+	c.server = c.handler.NewServer()
+	c.server.Handler = handler
 	registry.Go(c.Name(), func(context.Context) error { return serve(c.server, listener) })
 	registry.Go(c.Name(), c.countHosts)
 	c.host.log.Info("proxy: serving callers", zap.String("address", listener.Addr().String()))
