Leave a server that lost the key instead of waiting for it

Repeatable requests of keyed services now watch the routes while they wait for an answer, and go to the new owner at once, outside the retry budget: the lost server has no load. Bookings still wait; they may have been run.

--- a/internal/bench/balance/command.go
+++ b/internal/bench/balance/command.go
@@ -18,8 +18,8 @@
 type Command struct {
 	Services []string      `long:"service" description:"service whose load is modelled (repeatable; default all)"`
 	Policies []string      `long:"policy" description:"policy (repeatable; default all)"`
-	Hosts    []int         `long:"hosts" default:"3" default:"12" description:"entry hosts"`
-	Loads    []float64     `long:"load" default:"0.5" default:"0.9" default:"1" default:"1.5" default:"3" description:"offered work relative to capacity"`
+	Hosts    []int         `long:"hosts" description:"entry hosts (repeatable; default 3 and 12)"`
+	Loads    []float64     `long:"load" description:"offered work relative to capacity (repeatable; default 0.5, 0.9, 1, 1.5 and 3)"`
 	Faults   []string      `long:"fault" default:"none" description:"fault of one server: none, slow, frozen, cold, lying, shedding"`
 	Floods   []float64     `long:"flood" default:"0" description:"load of one flooding caller, relative to capacity"`
 	Duration time.Duration `long:"duration" default:"30s" description:"measured time, virtual"`
@@ -42,6 +42,12 @@
 			a.Services = append(a.Services, w.name)
 		}
 	}
+	if len(a.Hosts) == 0 {
+		a.Hosts = []int{3, 12}
+	}
+	if len(a.Loads) == 0 {
+		a.Loads = []float64{0.5, 0.9, 1, 1.5, 3}
+	}
 	if len(a.Policies) == 0 {
 		a.Policies = Policies
 	}
--- a/internal/host/keyrules.go
+++ b/internal/host/keyrules.go
@@ -19,13 +19,12 @@
 // own and for the restricted keys in use.
 func newKeyRules(set *declaration.Set, service topology.ServiceName, restricted []string) *keyRules {
 	r := &keyRules{byPosition: make(map[topology.Hash][]topology.ServerName)}
-	ordinary := set.DefaultGroup(service)
-	r.others = ordinary.Servers
+	r.others = set.DefaultGroup(service).Servers
 	for _, keys := range [][]string{set.LabeledKeys(service), restricted} {
 		for _, key := range keys {
 			// A key whose labels change nothing needs no slice of its own.
-			if group := set.GroupOf(service, key); group.ID != ordinary.ID {
-				r.byPosition[topology.HashKey(key)] = group.Servers
+			if set.Restricted(service, key) {
+				r.byPosition[topology.HashKey(key)] = set.MayOwn(service, key)
 			}
 		}
 	}
--- a/internal/host/restricted.go
+++ b/internal/host/restricted.go
@@ -100,7 +100,7 @@
 	if judged && current {
 		return
 	}
-	restricted := set.GroupOf(service, key).ID != set.DefaultGroup(service).ID
+	restricted := set.Restricted(service, key)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if state.set != set {
@@ -129,9 +129,8 @@
 func (s *restrictedKeys) judgeAgain(set *declaration.Set, service topology.ServiceName) {
 	s.set = set
 	clear(s.judged)
-	ordinary := set.DefaultGroup(service).ID
 	for key := range s.found {
-		if set.GroupOf(service, key).ID == ordinary {
+		if !set.Restricted(service, key) {
 			delete(s.found, key)
 			s.dirty = true
 		}
--- a/internal/peersync/replicator.go
+++ b/internal/peersync/replicator.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// LastContact returns when a peer last answered, counted from before the pull
-// was sent; zero if none has.
+// LastContact returns a time at which a peer surely lived, at the latest when it
+// answered; zero if none has answered.
 func (r *Replicator) LastContact() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -189,8 +189,11 @@
 	}
 	r.mu.Lock()
 	delete(r.gone, host.Name)
-	if sent.After(r.lastContact) {
-		r.lastContact = sent
+	// The peer lived when it answered, which was at least the held time after
+	// the request was sent. The time of receipt proves nothing: the answer may
+	// have waited while this host was paused.
+	if contact := sent.Add(time.Duration(response.HeldMillis) * time.Millisecond); contact.After(r.lastContact) {
+		r.lastContact = contact
 	}
 	r.mu.Unlock()
 	return response, nil
@@ -229,6 +232,7 @@
 				Incarnation: r.incarnation, Cursor: next, Topics: topicsToWire(topics),
 				LeaderKnown: leaderKnown, LeaderTerm: uint64(age.Term),
 				LeaderAgeMillis: ceilMillis(arrival.Sub(age.Since)),
+				HeldMillis:      time.Since(arrival).Milliseconds(),
 			}, nil
 		}
 		select {
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/cassiasill/cassiasill/internal/admission"
 	"github.com/cassiasill/cassiasill/internal/apierror"
 	"github.com/cassiasill/cassiasill/internal/routing"
@@ -68,17 +70,24 @@
 	if u == nil {
 		return nil, &failure{seen: SeenNotConnected, kind: apierror.KindNoUpstream, err: errors.New("the server is not in the settings")}
 	}
-	ctx, cancel := context.WithCancel(q.ctx)
+	ctx, cancelCause := context.WithCancelCause(q.ctx)
+	cancel := func() { cancelCause(nil) }
 	x := &exchange{abort: cancel}
 	if q.service.Keyed {
 		x.owned = func() bool { return q.handler.options.Resolver.Owner(q.service.Name, q.position) == owner }
 	}
+	endWatch := func() {}
+	if q.service.Keyed && q.route.Repeatable {
+		endWatch = q.watchOwner(owner, cancelCause)
+	}
 	body := q.body.open(q)
 	response, err := u.transport.RoundTrip(q.outgoing(x.trace(ctx), u, owner, body, p))
 	if err != nil {
+		endWatch()
+		cause := context.Cause(ctx)
 		cancel()
 		body.stop()
-		return nil, failed(q.ctx, x, err, q.body.failure())
+		return nil, failed(q.ctx, x, err, q.body.failure()).movedIf(cause)
 	}
 	a := &answer{response: response, exchange: x, cancel: cancel, ticket: ticket, owner: owner, upstream: u, length: response.ContentLength}
 	if !hasBody(q.r.Method, response.StatusCode) {
@@ -86,7 +95,16 @@
 	}
 	a.left = a.length
 	x.expect(a.length)
-	if f := q.inspect(a, p); f != nil {
+	f := q.inspect(a, p)
+	endWatch()
+	cause := context.Cause(ctx)
+	if f == nil && cause == errMoved && !a.whole {
+		// The watch ended the attempt after its head had arrived; the rest of
+		// the body cannot be read any more.
+		f = &failure{seen: SeenUnknown, kind: apierror.KindUpstreamFailed, at: time.Now()}
+	}
+	if f != nil {
+		f = f.movedIf(cause)
 		cancel()
 		body.stop()
 		response.Body.Close()
@@ -98,6 +116,34 @@
 	return a, nil
 }
 
+// watchOwner gives an attempt up as soon as another server owns the key: a
+// frozen owner would hold the request until its deadline, although the key is
+// served again. It returns the function that ends the watch. Only requests that
+// may be repeated are watched.
+func (q *request) watchOwner(owner routing.Owner, cancel context.CancelCauseFunc) (stop func()) {
+	done := make(chan struct{})
+	var group conc.WaitGroup
+	group.Go(func() {
+		for {
+			changed := q.handler.options.Resolver.Changed(q.service.Name)
+			now := q.handler.options.Resolver.Owner(q.service.Name, q.position)
+			if now.State == routing.StateServed && now.Server != owner.Server {
+				cancel(errMoved)
+				return
+			}
+			select {
+			case <-changed:
+			case <-done:
+				return
+			}
+		}
+	})
+	return func() {
+		close(done)
+		group.Wait()
+	}
+}
+
 // outgoing builds the request for an upstream. GetBody stays nil, so that
 // net/http never sends a body twice on its own.
 func (q *request) outgoing(ctx context.Context, u *upstream, owner routing.Owner, body *attemptBody, p *part) *http.Request {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -206,7 +206,8 @@
 	// An attempt that was not sent put no load on an upstream. The rest of an
 	// answer is sent only once, so it is not extra load either, but it gives
 	// way to other requests in overload.
-	budgeted := f.seen == SeenShed || f.seen == SeenUnknown && p == nil
+	// Neither was an attempt at a server that has lost the key: its load is gone.
+	budgeted := f.seen == SeenShed || f.seen == SeenUnknown && p == nil && !f.moved
 	if p != nil && q.service.budget.Overloaded(now) {
 		return err
 	}
--- a/internal/proxy/seen.go
+++ b/internal/proxy/seen.go
@@ -41,6 +41,7 @@
 	errDeadline = errors.New("the deadline has passed")
 	errStalled  = errors.New("the body made no progress")
 	errFinished = errors.New("the request has ended")
+	errMoved    = errors.New("another server has become the owner of the key")
 )
 
 // failure describes a failed attempt.
@@ -51,7 +52,9 @@
 	// broken is set if the upstream broke the connection after the request
 	// was sent: possible evidence of a crash.
 	broken bool
-	at     time.Time
+	// moved is set if the attempt was given up because the key has a new owner.
+	moved bool
+	at    time.Time
 }
 
 // failed classifies the error of a round trip. It ends the attempt: what has
@@ -84,6 +87,15 @@
 	return f
 }
 
+// movedIf notes that the attempt was given up for a new owner, if that is the
+// cause of its end.
+func (f *failure) movedIf(cause error) *failure {
+	if errors.Is(cause, errMoved) {
+		f.moved, f.broken, f.err = true, false, errMoved
+	}
+	return f
+}
+
 // outcome returns what admission should learn from the failure.
 func (f *failure) outcome() admission.Outcome {
 	switch {
