--- a/internal/matrix/deployment_test.go
+++ b/internal/matrix/deployment_test.go
@@ -64,9 +64,11 @@
 
 // deployment is a whole deployment in one bubble of testing/synctest.
 type deployment struct {
+	// picking guards random and hit, which the step and the fault share.
+	picking    sync.Mutex
+	random     *rand.Rand
 	t          *testing.T
 	seed       uint64
-	random     *rand.Rand // of the goroutine that runs the cell
 	variant    variant
 	pipes      pipes
 	store      *memory.Store
@@ -190,6 +192,8 @@
 // follower returns a host that is well and does not lead.
 func (d *deployment) follower() *entryHost {
 	leader := d.leader()
+	d.picking.Lock()
+	defer d.picking.Unlock()
 	for _, i := range d.random.Perm(len(d.hosts)) {
 		if h := d.hosts[i]; h != leader && h.running() != nil && h.well() {
 			return h
--- a/internal/matrix/faults_test.go
+++ b/internal/matrix/faults_test.go
@@ -58,6 +58,8 @@
 // victim picks a server that nothing has happened to yet.
 func (d *deployment) victim(service topology.ServiceName) *standin.Server {
 	servers := d.of(service)
+	d.picking.Lock()
+	defer d.picking.Unlock()
 	for _, i := range d.random.Perm(len(servers)) {
 		if name := servers[i].Name(); !d.hit[name] {
 			d.hit[name] = true
