--- a/internal/netfault/netfault.go
+++ b/internal/netfault/netfault.go
@@ -366,6 +366,10 @@
 
 // abort ends the connection at once.
 func (c *conn) abort() error {
+	c.mu.Lock()
+	// Kill waits for the goroutines that empty send buffers: none may start.
+	c.failed = cmp.Or(c.failed, net.ErrClosed)
+	c.mu.Unlock()
 	c.closeOnce.Do(func() { close(c.closed) })
 	c.network.mu.Lock()
 	delete(c.network.conns, c)
