--- a/internal/matrix/operators_test.go
+++ b/internal/matrix/operators_test.go
@@ -26,7 +26,7 @@
 	sent    int
 	// accepted and refused hold the ids of changes by what the operator was told.
 	accepted, refused, unknown []string
-	// race is the revision of the raced document that the operator has seen.
+	// revisions are those of the documents that the operator has seen.
 	revisions map[declaration.Key]uint64
 }
 
--- a/internal/matrix/watcher_test.go
+++ b/internal/matrix/watcher_test.go
@@ -261,14 +261,13 @@
 
 // check adds the breaches that only the whole run shows and returns all.
 func (w *watcher) check() []string {
-	var byPath, poison, all []invariant.Execution
+	var byPath, all []invariant.Execution
 	crashed := make(map[string]int)
 	for _, s := range w.d.servers {
 		for _, e := range s.Executions() {
 			x := invariant.Execution{RequestID: e.Path, Server: string(e.Server), Start: e.Start}
 			all = append(all, x)
 			if isPoison(e.Path) {
-				poison = append(poison, x)
 				crashed[e.Path]++
 				continue
 			}
