--- a/internal/matrix/deployment_test.go
+++ b/internal/matrix/deployment_test.go
@@ -123,7 +123,7 @@
 }
 
 func address(host int, of string) string {
-	return fmt.Sprintf("10.0.0.%d:%d", host+1, map[string]int{"callers": 80, "admin": 81, "peer": 82}[of])
+	return fmt.Sprintf("127.0.0.%d:%d", host+1, map[string]int{"callers": 80, "admin": 81, "peer": 82}[of])
 }
 
 func (d *deployment) startServer(service *settings.Service, server *topology.Server) {
@@ -134,7 +134,7 @@
 		Seed: d.seed + uint64(len(d.servers)), ArchiveBytes: archiveBytes, LoadLag: time.Second,
 		PoisonPath: "poison", RestartAfter: 2 * time.Second, Listen: d.pipes.Network.Listen, OnOwnership: d.watch.ownership,
 	})
-	address, err := s.Listen(fmt.Sprintf("10.0.1.%d:80", len(d.servers)+1))
+	address, err := s.Listen(fmt.Sprintf("127.0.1.%d:80", len(d.servers)+1))
 	assert.NilError(d.t, err)
 	server.Address = address
 	d.servers[server.Name] = s
--- a/internal/matrix/matrix_test.go
+++ b/internal/matrix/matrix_test.go
@@ -114,7 +114,9 @@
 	time.Sleep(f.hold - time.Since(struck))
 	heal()
 	<-done
-	restore()
+	if restore != nil { // nil if the step itself failed
+		restore()
+	}
 }
 
 // agree reports whether all hosts have the same declarations in force.
