Shorten grants and promises: keys are served again sooner

Cause: the time for which a lost server's keys went unserved, and the wait of a new leader, are multiples of GrantTTL (1,600 ms) and PromiseTTL (500 ms); two losses one after the other exceeded 3 s. Ruled out: making the constants depend on the fault, because no process can tell a frozen server from a lost one. GrantTTL is now 1,150 ms, PromiseTTL 400 ms, renewed every 120 ms: the loss of a leader still leaves at least 700 ms of grants against 574 ms for the takeover.

Price: a server that pauses for 0.7 s instead of 1.2 s loses its keys.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -17,7 +17,7 @@
 // GrantTTL is how far the end of a grant set lies after the server's clock
 // reading on which it is based. It outlasts the election of a new leader, so
 // that the loss of a leader interrupts no key.
-const GrantTTL = 1600 * time.Millisecond
+const GrantTTL = 1150 * time.Millisecond
 
 // ClockMargin is the relative difference in clock rate, in percent, that every
 // wait on another process's clock adds.
--- a/internal/leadership/candidate.go
+++ b/internal/leadership/candidate.go
@@ -9,7 +9,7 @@
 
 const (
 	// RenewInterval lets two renewals be lost before a promise ends.
-	RenewInterval = 150 * time.Millisecond
+	RenewInterval = 120 * time.Millisecond
 	// storeLimit is the age of the last successful store call from which a
 	// leader gives way to a host that reaches the store.
 	storeLimit = time.Second
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cassiasill/cassiasill/internal/granter"
 	"github.com/cassiasill/cassiasill/internal/peer/peerpb"
 	"github.com/cassiasill/cassiasill/internal/topology"
 )
@@ -23,25 +24,29 @@
 	}
 	release := ask("a", 10)
 	release.Release = true
+	const ms = time.Millisecond
+	ttl := granter.WithMargin(PromiseTTL) // how long a witness keeps its word
+	renewed := ttl + 295*ms
+	end := renewed + ttl
 	steps := []struct {
 		at      time.Duration
 		request *peerpb.PromiseRequest
 		reason  string
 	}{
-		{504 * time.Millisecond, ask("a", 10), ReasonRecovering},
-		{505 * time.Millisecond, &peerpb.PromiseRequest{Candidate: "a", Term: 10, RecordVersion: 2}, ReasonRecord},
-		{505 * time.Millisecond, ask("a", 10), ""},
-		{600 * time.Millisecond, ask("b", 11), ReasonHeld},
-		{600 * time.Millisecond, ask("a", 11), ReasonHeld}, // a former process of this name may still act
-		{800 * time.Millisecond, ask("a", 10), ""},
-		{1304 * time.Millisecond, ask("b", 11), ReasonHeld}, // the margin of 1 %
-		{1305 * time.Millisecond, ask("b", 10), ReasonTerm},
-		{1305 * time.Millisecond, ask("b", 9), ReasonTerm},
-		{1305 * time.Millisecond, ask("a", 10), ""},
-		{1310 * time.Millisecond, release, ""},
-		{1310 * time.Millisecond, ask("b", 0), ReasonTerm}, // a question
-		{1310 * time.Millisecond, ask("b", 11), ""},
-		{1320 * time.Millisecond, release, ReasonHeld}, // late, for a former promise
+		{ttl - ms, ask("a", 10), ReasonRecovering},
+		{ttl, &peerpb.PromiseRequest{Candidate: "a", Term: 10, RecordVersion: 2}, ReasonRecord},
+		{ttl, ask("a", 10), ""},
+		{ttl + 95*ms, ask("b", 11), ReasonHeld},
+		{ttl + 95*ms, ask("a", 11), ReasonHeld}, // a former process of this name may still act
+		{renewed, ask("a", 10), ""},
+		{end - ms, ask("b", 11), ReasonHeld}, // the margin of 1 %
+		{end, ask("b", 10), ReasonTerm},
+		{end, ask("b", 9), ReasonTerm},
+		{end, ask("a", 10), ""},
+		{end + 5*ms, release, ""},
+		{end + 5*ms, ask("b", 0), ReasonTerm}, // a question
+		{end + 5*ms, ask("b", 11), ""},
+		{end + 15*ms, release, ReasonHeld}, // late, for a former promise
 	}
 	w := NewWitness("a", start)
 	w.Learn(record)
--- a/internal/leadership/witness.go
+++ b/internal/leadership/witness.go
@@ -10,7 +10,7 @@
 
 // PromiseTTL is how long a promise binds a witness. It bounds how long a host
 // that is cut off goes on acting as leader.
-const PromiseTTL = 500 * time.Millisecond
+const PromiseTTL = 400 * time.Millisecond
 
 // Reasons for which a witness refuses a promise.
 const (
