--- a/internal/ownership/persister.go
+++ b/internal/ownership/persister.go
@@ -11,8 +11,9 @@
 
 const (
 	// planInterval is how often a planner is asked and corrections are
-	// written.
-	planInterval = time.Second
+	// written. A server that leaves must be empty within 3 s, also if the first
+	// target of a move is lost and the move is planned again.
+	planInterval = 500 * time.Millisecond
 	// loadInterval is the pause between attempts to read the store in a new
 	// term.
 	loadInterval = 200 * time.Millisecond
--- a/internal/ownership/view.go
+++ b/internal/ownership/view.go
@@ -43,7 +43,7 @@
 	Moving []topology.Range
 }
 
-// Planner proposes changes once a second.
+// Planner proposes changes every planInterval.
 type Planner interface {
 	Plan(service topology.ServiceName, input PlanInput) []Move
 }
