Empty leaving servers also while the store is down

If the write fails, such a move now goes to the first live successor that the stored assignment names. The matrix checks of these moves that the stored assignment names the successor.

Also: the watch for a new owner ends with the answer's header.

--- a/internal/host/planner.go
+++ b/internal/host/planner.go
@@ -129,7 +129,7 @@
 		}
 	}
 	for _, m := range plan.Moves {
-		out = append(out, ownership.Move{Kind: ownership.KindMove, Range: m.Range, From: m.From, To: m.To})
+		out = append(out, ownership.Move{Kind: ownership.KindMove, Range: m.Range, From: m.From, To: m.To, Forced: m.Reason.Forced()})
 		s.recent = append(s.recent, recentMove{m.Range, m.Share, now})
 	}
 	return out
--- a/internal/matrix/watcher_test.go
+++ b/internal/matrix/watcher_test.go
@@ -91,9 +91,14 @@
 	c.watcher.mu.Lock()
 	defer c.watcher.mu.Unlock()
 	c.watcher.lines = append(c.watcher.lines, line)
-	if e.Message == "ownership: "+string(ownership.EventMoveStarted) {
+	role := map[string]string{
+		"ownership: " + string(ownership.EventMoveStarted): "",
+		// Such a move is durable if the stored assignment names the successor.
+		"ownership: " + string(ownership.EventEvacuation): "successor ",
+	}
+	if role, ok := role[e.Message]; ok {
 		first := fmt.Sprint(encoder.Fields["first"])[1:17]
-		c.watcher.moves = append(c.watcher.moves, fmt.Sprintf("%v %s %v", encoder.Fields["service"], first, encoder.Fields["to"]))
+		c.watcher.moves = append(c.watcher.moves, fmt.Sprintf("%v %s %s%v", encoder.Fields["service"], first, role, encoder.Fields["to"]))
 	}
 	return nil
 }
@@ -224,6 +229,9 @@
 	}
 	for _, s := range assignment.Slices {
 		w.owners.Stored(fmt.Sprintf("%s %016x %s", stock, uint64(s.Range.First), s.Owner))
+		for _, successor := range s.Successors {
+			w.owners.Stored(fmt.Sprintf("%s %016x successor %s", stock, uint64(s.Range.First), successor))
+		}
 	}
 	w.stored = manifest.Version
 }
--- a/internal/ownership/decide.go
+++ b/internal/ownership/decide.go
@@ -20,6 +20,7 @@
 	EventLost          EventKind = "server lost its ranges"
 	EventConflict      EventKind = "conflicting report"
 	EventMoveStarted   EventKind = "move started"
+	EventEvacuation    EventKind = "move to a successor started"
 	EventMoveFinished  EventKind = "move finished"
 	EventMoveAbandoned EventKind = "move abandoned"
 )
@@ -77,8 +78,8 @@
 
 // StartMove begins to release a range of one server for another. It reports
 // false, and does nothing, if the range is not wholly held by move.From or
-// move.To is not live. The assignment with the move must be known to be
-// applied in the store.
+// move.To is not live. The assignment in the store must be known to name
+// move.To for the range, as its owner or as a successor.
 func (l *Ledger) StartMove(now time.Time, m Move) bool {
 	from, to := l.byName[m.From], l.byName[m.To]
 	if from == nil || to == nil || from == to || !to.live(now) || to.leaving || l.assignment == nil {
@@ -97,7 +98,11 @@
 	}
 	from.dirty, from.urgent = true, true
 	l.moves = append(l.moves, started)
-	l.note(Event{Kind: EventMoveStarted, Server: m.From, To: m.To, Ranges: []topology.Range{m.Range}})
+	kind := EventMoveStarted
+	if m.ToSuccessor {
+		kind = EventEvacuation
+	}
+	l.note(Event{Kind: kind, Server: m.From, To: m.To, Ranges: []topology.Range{m.Range}})
 	return true
 }
 
--- a/internal/ownership/persister.go
+++ b/internal/ownership/persister.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,6 +20,8 @@
 	loadInterval = 200 * time.Millisecond
 	// storeTimeout bounds one read or write of an assignment.
 	storeTimeout = 2 * time.Second
+	// forcedTimeout bounds the write before moves that must be done within 3 s.
+	forcedTimeout = 800 * time.Millisecond
 )
 
 // persist keeps the assignment in the store in step with the ledger.
@@ -47,6 +50,7 @@
 	defer cancel()
 	if r.stored == nil {
 		if err := c.load(ctx, r); err != nil {
+			c.evacuate(r, c.forcedMoves(r))
 			return err
 		}
 	}
@@ -54,7 +58,15 @@
 	if next == nil || !c.holds(r.term) {
 		return nil
 	}
+	forced := slices.DeleteFunc(slices.Clone(moves), func(m Move) bool { return !m.Forced })
+	if len(forced) > 0 {
+		ctx, cancel = context.WithTimeout(ctx, forcedTimeout)
+		defer cancel()
+	}
 	after, applied, err := c.assignments.write(ctx, r.stored, next)
+	if err != nil {
+		c.evacuate(r, forced)
+	}
 	r.stored = after
 	if err != nil || !applied {
 		return err // loaded again before the next attempt
@@ -64,6 +76,51 @@
 	return nil
 }
 
+// forcedMoves asks the planner for the moves that do not wait for the store.
+func (c *Controller) forcedMoves(r *run) []Move {
+	r.mu.Lock()
+	input := r.ledger.planInput(time.Now())
+	r.mu.Unlock()
+	if c.o.Planner == nil || input.Assignment == nil {
+		return nil
+	}
+	return slices.DeleteFunc(c.o.Planner.Plan(r.ledger.service, input), func(m Move) bool {
+		return m.Kind != KindMove || !m.Forced || overlapsAny(m.Range, input.Moving)
+	})
+}
+
+// evacuate starts forced moves without the store, each slice to the first live
+// successor that the assignment names. The assignment is in the store, so that
+// such a move is as durable as a failover along it; where the ranges are in the
+// end is written when the store answers.
+func (c *Controller) evacuate(r *run, moves []Move) {
+	if len(moves) == 0 || !c.holds(r.term) {
+		return
+	}
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range moves {
+		for _, slice := range r.ledger.assignment.Slices {
+			if slice.Owner != m.From || !slice.Range.Overlaps(m.Range) {
+				continue
+			}
+			bounds := topology.Range{First: max(slice.Range.First, m.Range.First), Last: min(slice.Range.Last, m.Range.Last)}
+			for _, to := range slice.Successors {
+				allowed := r.ledger.eligible == nil || r.ledger.eligible(to, bounds)
+				if allowed && r.ledger.StartMove(now, Move{Range: bounds, From: m.From, To: to, Forced: true, ToSuccessor: true}) {
+					break
+				}
+			}
+		}
+	}
+	c.logEvents(r)
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
 func (c *Controller) load(ctx context.Context, r *run) error {
 	a, found, err := c.assignments.load(ctx, r.ledger.service)
 	if err != nil {
--- a/internal/ownership/view.go
+++ b/internal/ownership/view.go
@@ -13,6 +13,12 @@
 	Range topology.Range
 	From  topology.ServerName
 	To    topology.ServerName
+	// Forced is set if From must give the range up soon, because it leaves or
+	// may no longer own it. Such a move does not wait for the store.
+	Forced bool
+	// ToSuccessor is set if the assignment in the store names To as a successor
+	// of the range and not yet as its owner.
+	ToSuccessor bool
 }
 
 // Kind tells what a Move changes.
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -82,9 +82,9 @@
 	}
 	body := q.body.open(q)
 	response, err := u.transport.RoundTrip(q.outgoing(x.trace(ctx), u, owner, body, p))
+	endWatch()
+	cause := context.Cause(ctx)
 	if err != nil {
-		endWatch()
-		cause := context.Cause(ctx)
 		cancel()
 		body.stop()
 		return nil, failed(q.ctx, x, err, q.body.failure()).movedIf(cause)
@@ -95,15 +95,7 @@
 	}
 	a.left = a.length
 	x.expect(a.length)
-	f := q.inspect(a, p)
-	endWatch()
-	cause := context.Cause(ctx)
-	if f == nil && cause == errMoved && !a.whole {
-		// The watch ended the attempt after its head had arrived; the rest of
-		// the body cannot be read any more.
-		f = &failure{seen: SeenUnknown, kind: apierror.KindUpstreamFailed, at: time.Now()}
-	}
-	if f != nil {
+	if f := q.inspect(a, p); f != nil {
 		f = f.movedIf(cause)
 		cancel()
 		body.stop()
@@ -119,7 +111,8 @@
 // watchOwner gives an attempt up as soon as another server owns the key: a
 // frozen owner would hold the request until its deadline, although the key is
 // served again. It returns the function that ends the watch. Only requests that
-// may be repeated are watched.
+// may be repeated are watched, and only until the answer's header is there: a
+// transfer that breaks off later is resumed.
 func (q *request) watchOwner(owner routing.Owner, cancel context.CancelCauseFunc) (stop func()) {
 	done := make(chan struct{})
 	var group conc.WaitGroup
