--- a/internal/bench/control/network.go
+++ b/internal/bench/control/network.go
@@ -5,6 +5,8 @@
 	"net"
 	"strings"
 	"sync/atomic"
+
+	"github.com/cassiasill/cassiasill/internal/network"
 )
 
 // traffic counts the bytes that one host sends, by whom they go to.
@@ -20,8 +22,7 @@
 }
 
 func (n countedNetwork) Listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	l, err := config.Listen(ctx, "tcp", address)
+	l, err := network.Machine{}.Listen(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -29,9 +30,8 @@
 	return countedListener{l, &n.traffic.peers}, nil
 }
 
-func (n countedNetwork) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	c, err := dialer.DialContext(ctx, network, address)
+func (n countedNetwork) Dial(ctx context.Context, protocol, address string) (net.Conn, error) {
+	c, err := network.Machine{}.Dial(ctx, protocol, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/control/run.go
+++ b/internal/bench/control/run.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/host"
+	"github.com/cassiasill/cassiasill/internal/pause"
 	"github.com/cassiasill/cassiasill/internal/settings"
 	"github.com/cassiasill/cassiasill/internal/standin"
 	"github.com/cassiasill/cassiasill/internal/store/memory"
@@ -119,7 +120,7 @@
 		}
 		group.Go(func() { _ = h.Run(ctx, nil) })
 	}
-	if err := sleep(ctx, o.Settle); err != nil {
+	if err := pause.For(ctx, o.Settle); err != nil {
 		return Result{}, err
 	}
 	return window(ctx, o, store, counts, heapBefore)
@@ -129,7 +130,7 @@
 func window(ctx context.Context, o Options, store *memory.Store, counts []*traffic, heapBefore uint64) (Result, error) {
 	storeBefore, cpuBefore, start := store.Counts(), cpuTime(), time.Now()
 	peersBefore, serversBefore := totals(counts)
-	if err := sleep(ctx, o.Measure); err != nil {
+	if err := pause.For(ctx, o.Measure); err != nil {
 		return Result{}, err
 	}
 	seconds := time.Since(start).Seconds()
@@ -169,17 +170,6 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // peerPort is the port of every host's peer address; each host has a loopback
 // address of its own.
 const peerPort = 19380
--- a/internal/configsync/fake_test.go
+++ b/internal/configsync/fake_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/declaration"
+	"github.com/cassiasill/cassiasill/internal/pause"
 	"github.com/cassiasill/cassiasill/internal/peersync"
 	"github.com/cassiasill/cassiasill/internal/store"
 	"github.com/cassiasill/cassiasill/internal/topology"
@@ -53,7 +54,7 @@
 	s.mu.Lock()
 	slow := s.slow
 	s.mu.Unlock()
-	if sleep(ctx, 2*time.Millisecond+slow); ctx.Err() != nil {
+	if pause.For(ctx, 2*time.Millisecond+slow); ctx.Err() != nil {
 		return ctx.Err()
 	}
 	s.mu.Lock()
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/declaration"
+	"github.com/cassiasill/cassiasill/internal/pause"
 	"github.com/cassiasill/cassiasill/internal/peersync"
 	"github.com/cassiasill/cassiasill/internal/store"
 	"github.com/cassiasill/cassiasill/internal/topology"
@@ -26,7 +27,7 @@
 				f.log.Info("configsync: watch ended, reading all documents again", zap.Error(err))
 			}
 		}
-		sleep(ctx, watchRetry)
+		_ = pause.For(ctx, watchRetry)
 	}
 	return nil
 }
--- a/internal/configsync/writer.go
+++ b/internal/configsync/writer.go
@@ -13,6 +13,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/apierror"
 	"github.com/cassiasill/cassiasill/internal/declaration"
+	"github.com/cassiasill/cassiasill/internal/pause"
 	"github.com/cassiasill/cassiasill/internal/store"
 )
 
@@ -165,7 +166,7 @@
 	for attempt := range maxAttempts {
 		if attempt > 0 {
 			// The pause differs from host to host because the ids do.
-			sleep(ctx, time.Duration(attempt)*time.Duration(5+len(batch)+int(batch[0].change.ID[len(batch[0].change.ID)-1])%16)*time.Millisecond)
+			_ = pause.For(ctx, time.Duration(attempt)*time.Duration(5+len(batch)+int(batch[0].change.ID[len(batch[0].change.ID)-1])%16)*time.Millisecond)
 		}
 		before, err := w.load(ctx)
 		if err != nil {
@@ -296,7 +297,7 @@
 			return
 		}
 		w.refuseWaiting(apierror.New(apierror.KindStoreUnavailable, "the store does not answer; nothing was changed"))
-		sleep(ctx, resolvePause)
+		_ = pause.For(ctx, resolvePause)
 	}
 }
 
@@ -432,13 +433,3 @@
 	}
 	return apierror.Wrap(apierror.KindStoreUnavailable, err, "nothing was changed, because the declarations cannot be read or written: %v", err)
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/declaration/document.go
+++ b/internal/declaration/document.go
@@ -140,18 +140,14 @@
 
 // ParseKind returns the kind with the given name in any case.
 func ParseKind(name string) (Kind, error) {
-	var names, lower []string
+	var names []string
 	for _, kind := range Kinds() {
 		if strings.EqualFold(string(kind), name) {
 			return kind, nil
 		}
-		names, lower = append(names, string(kind)), append(lower, strings.ToLower(string(kind)))
+		names = append(names, string(kind))
 	}
-	hint := ""
-	if i := nearest(strings.ToLower(name), lower); i >= 0 {
-		hint = fmt.Sprintf(" (did you mean %q?)", names[i])
-	}
-	return "", fmt.Errorf("unknown kind %q%s; kinds are %s", name, hint, strings.Join(names, ", "))
+	return "", fmt.Errorf("unknown kind %q%s; kinds are %s", name, suggestion(name, names), strings.Join(names, ", "))
 }
 
 // Key returns the document's key.
--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -24,6 +24,8 @@
 	// readinessDelay is how long a host that shuts down goes on accepting
 	// requests after it reported not ready, so that the balancer notices first.
 	readinessDelay = 500 * time.Millisecond
+	// hostsInterval is how often the live hosts are counted.
+	hostsInterval = time.Second
 )
 
 // callersService answers callers.
@@ -135,7 +137,8 @@
 	c.server = c.handler.NewServer()
 	c.server.Handler = handler
 	registry.Go(c.Name(), func(context.Context) error { return serve(c.server, listener) })
-	registry.Go(c.Name(), c.countHosts)
+	c.countHosts()
+	registry.Every(c.Name(), hostsInterval, c.countHosts)
 	c.host.log.Info("proxy: serving callers", zap.String("address", listener.Addr().String()))
 	return nil
 }
@@ -150,19 +153,10 @@
 }
 
 // countHosts tells admission how many hosts share the servers' slots.
-func (c *callersService) countHosts(ctx context.Context) error {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		names := c.host.keeper.liveHosts()
-		slices.Sort(names)
-		c.admission.SetHosts(slices.Index(names, c.host.settings.Host.Name), len(names))
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+func (c *callersService) countHosts() {
+	names := c.host.keeper.liveHosts()
+	slices.Sort(names)
+	c.admission.SetHosts(slices.Index(names, c.host.settings.Host.Name), len(names))
 }
 
 // Stop reports not ready, waits for the balancer, ends the requests in flight
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/hostlist"
 	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/network"
 	"github.com/cassiasill/cassiasill/internal/peersync"
 	"github.com/cassiasill/cassiasill/internal/settings"
 	"github.com/cassiasill/cassiasill/internal/store"
@@ -23,30 +23,12 @@
 // end of the requests in flight.
 const stopTimeout = 30 * time.Second
 
-// Network is how a host reaches others and is reached.
-type Network interface {
-	Listen(ctx context.Context, address string) (net.Listener, error)
-	Dial(ctx context.Context, network, address string) (net.Conn, error)
-}
-
-// realNetwork is the machine's own network.
-type realNetwork struct{ net.Dialer }
-
-func (*realNetwork) Listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	return config.Listen(ctx, "tcp", address)
-}
-
-func (n *realNetwork) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	return n.DialContext(ctx, network, address)
-}
-
 // Options configure a Host.
 type Options struct {
 	Settings *settings.Settings
 	Log      *zap.Logger
 	// Network replaces the machine's network if not nil.
-	Network Network
+	Network network.Network
 	// Store replaces the store that the settings name if not nil.
 	Store store.Store
 	// Seed makes random choices repeatable; zero draws one.
@@ -80,7 +62,7 @@
 // New assembles a host; Run starts it.
 func New(options Options) (*Host, error) {
 	if options.Network == nil {
-		options.Network = &realNetwork{}
+		options.Network = network.Machine{}
 	}
 	if options.Seed == 0 {
 		options.Seed = rand.Uint64()
--- a/internal/host/loads.go
+++ b/internal/host/loads.go
@@ -49,18 +49,7 @@
 
 // Start publishes the counts regularly.
 func (l *loadsService) Start(_ context.Context, registry *kernel.Registry) error {
-	registry.Go(l.Name(), func(ctx context.Context) error {
-		ticker := time.NewTicker(loadInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-				l.publish()
-			}
-		}
-	})
+	registry.Every(l.Name(), loadInterval, l.publish)
 	return nil
 }
 
--- a/internal/host/ownership.go
+++ b/internal/host/ownership.go
@@ -77,7 +77,7 @@
 // Start leads whenever this host is elected.
 func (o *ownershipService) Start(_ context.Context, registry *kernel.Registry) error {
 	registry.Go(o.Name(), o.controller.Run)
-	registry.Go(o.Name(), o.confirm)
+	registry.Every(o.Name(), confirmInterval, o.confirm)
 	return nil
 }
 
@@ -85,20 +85,11 @@
 func (o *ownershipService) Stop(context.Context) error { return nil }
 
 // confirm notes since when this host's own routes are current while it leads.
-func (o *ownershipService) confirm(ctx context.Context) error {
-	ticker := time.NewTicker(confirmInterval)
-	defer ticker.Stop()
-	for {
-		// The time is taken first: the routes are current at it or later.
-		now := time.Now()
-		if term, ok := o.current(); ok {
-			o.host.topics.replicator.ConfirmLeader(term, now)
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+func (o *ownershipService) confirm() {
+	// The time is taken first: the routes are current at it or later.
+	now := time.Now()
+	if term, ok := o.current(); ok {
+		o.host.topics.replicator.ConfirmLeader(term, now)
 	}
 }
 
--- a/internal/host/restricted.go
+++ b/internal/host/restricted.go
@@ -67,18 +67,7 @@
 
 // Start publishes what was found.
 func (r *restrictedService) Start(_ context.Context, registry *kernel.Registry) error {
-	registry.Go(r.Name(), func(ctx context.Context) error {
-		ticker := time.NewTicker(restrictedInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-				r.publish()
-			}
-		}
-	})
+	registry.Every(r.Name(), restrictedInterval, r.publish)
 	return nil
 }
 
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 	"go.uber.org/zap"
 )
 
@@ -68,8 +69,10 @@
 // the others answering under wrong assumptions.
 func (r *Registry) Go(name string, work func(ctx context.Context) error) {
 	r.group.Go(func() {
-		var catcher errorCatcher
-		err := catcher.run(func() error { return work(r.runCtx) })
+		var err error
+		if recovered := panics.Try(func() { err = work(r.runCtx) }); recovered != nil {
+			err = recovered.AsError()
+		}
 		if err == nil || r.runCtx.Err() != nil {
 			return
 		}
@@ -80,16 +83,20 @@
 	})
 }
 
-// errorCatcher turns a panic into an error.
-type errorCatcher struct{}
-
-func (errorCatcher) run(f func() error) (err error) {
-	defer func() {
-		if v := recover(); v != nil {
-			err = fmt.Errorf("panic: %v", v)
+// Every calls work at each interval until the kernel stops.
+func (r *Registry) Every(name string, interval time.Duration, work func()) {
+	r.Go(name, func(ctx context.Context) error {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				work()
+			}
 		}
-	}()
-	return f()
+	})
 }
 
 // Kernel runs a set of services.
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/hostlist"
+	"github.com/cassiasill/cassiasill/internal/pause"
 	"github.com/cassiasill/cassiasill/internal/peer/peerpb"
 	"github.com/cassiasill/cassiasill/internal/store"
 	"github.com/cassiasill/cassiasill/internal/topology"
@@ -196,7 +197,7 @@
 	defer group.Wait()
 	group.Go(func() { e.maintain(ctx) })
 	for ctx.Err() == nil {
-		sleep(ctx, e.step(ctx, &group))
+		_ = pause.For(ctx, e.step(ctx, &group))
 	}
 	e.resign("stopping", 0)
 	return nil
@@ -372,12 +373,3 @@
 	e.witness.Learn(record)
 	e.candidate.SetRecord(e.witness.Record())
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/leadership/maintain.go
+++ b/internal/leadership/maintain.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
+	"github.com/cassiasill/cassiasill/internal/pause"
 	"github.com/cassiasill/cassiasill/internal/peer/peerpb"
 	"github.com/cassiasill/cassiasill/internal/topology"
 )
@@ -49,9 +50,9 @@
 			e.replace(ctx)
 		}
 		if leads || record.Names(e.self) || record.Version == 0 {
-			sleep(ctx, probeInterval)
+			_ = pause.For(ctx, probeInterval)
 		} else {
-			sleep(ctx, idleProbeInterval)
+			_ = pause.For(ctx, idleProbeInterval)
 		}
 	}
 }
--- a/internal/netfault/netfault.go
+++ b/internal/netfault/netfault.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/cassiasill/cassiasill/internal/network"
 )
 
 // sendBuffer is how many bytes a connection takes before writes wait.
@@ -23,27 +25,9 @@
 // errKilled is returned by operations on a killed network.
 var errKilled = errors.New("netfault: the process is dead")
 
-// Base is the network beneath a Network.
-type Base interface {
-	Listen(ctx context.Context, address string) (net.Listener, error)
-	Dial(ctx context.Context, network, address string) (net.Conn, error)
-}
-
-// machine is the machine's own network.
-type machine struct{ net.Dialer }
-
-func (*machine) Listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	return config.Listen(ctx, "tcp", address)
-}
-
-func (m *machine) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	return m.DialContext(ctx, network, address)
-}
-
 // Network is the network as one process sees it.
 type Network struct {
-	base  Base
+	base  network.Network
 	group conc.WaitGroup // goroutines that empty send buffers
 	// latency returns the one-way latency to a remote address; nil means none.
 	latency func(remote string) time.Duration
@@ -57,10 +41,12 @@
 }
 
 // New returns a working network over the machine's own.
-func New(latency func(remote string) time.Duration) *Network { return NewOver(&machine{}, latency) }
+func New(latency func(remote string) time.Duration) *Network {
+	return NewOver(network.Machine{}, latency)
+}
 
 // NewOver returns a working network over base.
-func NewOver(base Base, latency func(remote string) time.Duration) *Network {
+func NewOver(base network.Network, latency func(remote string) time.Duration) *Network {
 	open := make(chan struct{})
 	close(open)
 	return &Network{base: base, latency: latency, open: open, conns: make(map[*conn]struct{}), listens: make(map[net.Listener]struct{})}
@@ -125,11 +111,11 @@
 }
 
 // Dial connects to a TCP address.
-func (n *Network) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (n *Network) Dial(ctx context.Context, protocol, address string) (net.Conn, error) {
 	if err := n.wait(ctx); err != nil {
 		return nil, err
 	}
-	c, err := n.base.Dial(ctx, network, address)
+	c, err := n.base.Dial(ctx, protocol, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peersync/replicator.go
+++ b/internal/peersync/replicator.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/cassiasill/cassiasill/internal/pause"
 	"github.com/cassiasill/cassiasill/internal/peer/peerpb"
 	"github.com/cassiasill/cassiasill/internal/topology"
 )
@@ -155,7 +156,7 @@
 		}
 		if err != nil {
 			r.markGone(host, err)
-			sleep(ctx, retryPause)
+			_ = pause.For(ctx, retryPause)
 			continue
 		}
 		incarnation, cursor = response.Incarnation, response.Cursor
@@ -262,12 +263,3 @@
 func ceilMillis(d time.Duration) int64 {
 	return int64(math.Ceil(float64(d) / float64(time.Millisecond)))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/peersync/replicator_test.go
+++ b/internal/peersync/replicator_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/cassiasill/cassiasill/internal/pause"
 	"github.com/cassiasill/cassiasill/internal/peer/peerpb"
 	"github.com/cassiasill/cassiasill/internal/topology"
 )
@@ -34,7 +35,7 @@
 }
 
 func (l link) Sync(ctx context.Context, host topology.Host, request *peerpb.SyncRequest) (*peerpb.SyncResponse, error) {
-	sleep(ctx, hopLatency)
+	_ = pause.For(ctx, hopLatency)
 	l.fleet.mu.Lock()
 	node, broken := l.fleet.nodes[host.Name], l.fleet.cut[host.Name] || l.fleet.cut[l.from]
 	l.fleet.mu.Unlock()
@@ -43,7 +44,7 @@
 		return nil, errors.New("cut off")
 	}
 	response, err := node.Sync(ctx, request)
-	sleep(ctx, hopLatency)
+	_ = pause.For(ctx, hopLatency)
 	return response, err
 }
 
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -12,6 +12,8 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 	"github.com/goccy/go-yaml/token"
+
+	"github.com/cassiasill/cassiasill/internal/spelling"
 )
 
 // Error is one thing that is wrong with a settings file.
@@ -176,7 +178,7 @@
 			d.decode(entry.Value, v.Field(i), join(path, key))
 			continue
 		}
-		if right := nearest(key, names); right != "" {
+		if right := spelling.Nearest(key, names); right != "" {
 			d.fail(join(path, key), "unknown field, did you mean %q?", right)
 		} else {
 			d.fail(join(path, key), "unknown field, expected one of %s", strings.Join(names, ", "))
--- a/internal/settings/units.go
+++ b/internal/settings/units.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"math"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -49,41 +48,6 @@
 	return nil
 }
 
-// distance returns the number of letters to insert, remove or replace to turn
-// a into b.
-func distance(a, b string) int {
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
-	}
-	for i := range len(a) {
-		diagonal := row[0]
-		row[0] = i + 1
-		for j := range len(b) {
-			cost := 1
-			if a[i] == b[j] {
-				cost = 0
-			}
-			diagonal, row[j+1] = row[j+1], min(diagonal+cost, row[j]+1, row[j+1]+1)
-		}
-	}
-	return row[len(b)]
-}
-
-// nearest returns the candidate that name is most likely a misspelling of, or
-// an empty string if none is close.
-func nearest(name string, candidates []string) string {
-	if len(candidates) == 0 {
-		return ""
-	}
-	rank := func(c string) int { return distance(strings.ToLower(name), strings.ToLower(c)) }
-	best := slices.MinFunc(candidates, func(a, b string) int { return rank(a) - rank(b) })
-	if rank(best) > max(1, len(best)/3) {
-		return ""
-	}
-	return best
-}
-
 // String returns the size in the largest unit that needs no fraction.
 func (s Size) String() string {
 	for _, unit := range []string{"GiB", "MiB", "KiB"} {
