Stop accepting only when the balancer has left

Cause: a host that got SIGTERM closed its listener 0.5 s after it reported not ready. Ruled out: the handler, which had nothing in flight when it was closed. A stopping host now answers with Connection: close and goes on until no request has come for 250 ms, at least 0.5 s and at most 5 s.

--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -15,15 +15,23 @@
 	"github.com/cassiasill/cassiasill/internal/apierror"
 	"github.com/cassiasill/cassiasill/internal/idempotency"
 	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/pause"
 	"github.com/cassiasill/cassiasill/internal/proxy"
 	"github.com/cassiasill/cassiasill/internal/settings"
 	"github.com/cassiasill/cassiasill/internal/topology"
 )
 
 const (
-	// readinessDelay is how long a host that shuts down goes on accepting
-	// requests after it reported not ready, so that the balancer notices first.
-	readinessDelay = 500 * time.Millisecond
+	// A host that shuts down reports not ready and goes on accepting requests
+	// for at least readinessDelay and until none has come for quietTime, so
+	// that the balancer notices first: what waits in the listener's queue when
+	// it is closed is cut off. Callers that never leave are given up after
+	// balancerTimeout.
+	readinessDelay  = 500 * time.Millisecond
+	quietTime       = 250 * time.Millisecond
+	balancerTimeout = 5 * time.Second
+	// quietInterval is how often the end of the wait is looked for.
+	quietInterval = 50 * time.Millisecond
 	// hostsInterval is how often the live hosts are counted.
 	hostsInterval = time.Second
 )
@@ -35,6 +43,7 @@
 	handler   *proxy.Handler
 	server    *http.Server
 	draining  atomic.Bool
+	arrived   atomic.Int64 // time of the newest request while draining
 }
 
 func newCallersService(h *Host) *callersService {
@@ -145,6 +154,12 @@
 
 // ServeHTTP refuses requests that this host must not route under old rules.
 func (c *callersService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c.draining.Load() {
+		c.arrived.Store(time.Now().UnixNano())
+		// Callers that are told to leave do not send another request on a
+		// connection just when the shutdown closes it.
+		w.Header().Set("Connection", "close")
+	}
 	if !c.host.declare.follower.Fresh() {
 		apierror.Write(w, "", apierror.New(apierror.KindStale, "this host hears neither the store nor a peer"))
 		return
@@ -163,12 +178,7 @@
 // and closes the connections.
 func (c *callersService) Stop(ctx context.Context) error {
 	c.draining.Store(true)
-	timer := time.NewTimer(readinessDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	c.awaitQuiet(ctx)
 	// Shutdown of the server first: it stops accepting and lets requests that
 	// are on the way in be answered; the handler then has only running ones.
 	err := c.server.Shutdown(ctx)
@@ -178,3 +188,17 @@
 	c.admission.Close()
 	return err
 }
+
+// awaitQuiet returns when the balancer has stopped sending requests.
+func (c *callersService) awaitQuiet(ctx context.Context) {
+	begin := time.Now()
+	for time.Since(begin) < balancerTimeout {
+		if pause.For(ctx, quietInterval) != nil {
+			return
+		}
+		quiet := time.Since(time.Unix(0, c.arrived.Load())) >= quietTime
+		if quiet && time.Since(begin) >= readinessDelay {
+			return
+		}
+	}
+}
--- a/internal/matrix/deployment_test.go
+++ b/internal/matrix/deployment_test.go
@@ -122,6 +122,9 @@
 	return d
 }
 
+// sendTime is enough for what is in send buffers to arrive.
+const sendTime = 50 * time.Millisecond
+
 func address(host int, of string) string {
 	return fmt.Sprintf("127.0.0.%d:%d", host+1, map[string]int{"callers": 80, "admin": 81, "peer": 82}[of])
 }
@@ -287,6 +290,8 @@
 		if err != nil && current {
 			d.watch.violated("shutdown", "%s ended with %v", h.name, err)
 		}
+		// The kernel still sends what a process wrote before it ended.
+		time.Sleep(sendTime)
 		inner.Kill()
 		outer.Kill()
 	})
