--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -39,7 +39,9 @@
 	hosts    []*devHost
 	observer *observer
 	closers  []func()
-	group    conc.WaitGroup
+	// stopWatch ends the observation of ownership.
+	stopWatch context.CancelFunc
+	group     conc.WaitGroup
 }
 
 // Run starts the deployment, prints "ready" when every key has an owner, waits
@@ -87,6 +89,7 @@
 		return err
 	}
 	watchCtx, stop := context.WithCancel(ctx)
+	d.stopWatch = stop
 	d.closers = append(d.closers, stop)
 	d.group.Go(func() { d.observer.watch(watchCtx, d.owned) })
 	return nil
@@ -193,9 +196,13 @@
 	case <-ctx.Done():
 	case <-end:
 	}
+	// The end of the run serves no keys; it must not count as unserved time.
+	d.stopWatch()
+	var stopping conc.WaitGroup
 	for _, h := range d.hosts {
-		h.stop()
+		stopping.Go(h.stop)
 	}
+	stopping.Wait()
 	return d.summarize()
 }
 
