--- a/internal/host/health.go
+++ b/internal/host/health.go
@@ -54,6 +54,7 @@
 // trusts its own observation more.
 type healthService struct {
 	host   *Host
+	bus    *peersync.Replicator // set by Start
 	client *http.Client
 }
 
@@ -66,6 +67,11 @@
 
 // Start polls and applies.
 func (s *healthService) Start(_ context.Context, registry *kernel.Registry) error {
+	bus, err := lookupBus(registry)
+	if err != nil {
+		return err
+	}
+	s.bus = bus
 	registry.Go(s.Name(), s.poll)
 	registry.Go(s.Name(), s.apply)
 	return nil
@@ -87,7 +93,7 @@
 		if !bytes.Equal(payload, last) || time.Since(publishedAt) >= healthRefresh {
 			last, publishedAt = payload, time.Now()
 			topic := healthTopicPrefix + string(s.host.settings.Host.Name)
-			peersync.PublishOwn(s.host.topics.replicator, topic, publishedAt, payload)
+			peersync.PublishOwn(s.bus, topic, publishedAt, payload)
 		}
 		select {
 		case <-ctx.Done():
@@ -155,7 +161,7 @@
 func (s *healthService) apply(ctx context.Context) error {
 	seen := make(map[string]healthSeen)
 	for {
-		topics := s.host.topics.replicator.Changed(healthTopicPrefix)
+		topics := s.bus.Changed(healthTopicPrefix)
 		declared := s.host.declare.follower.Changed()
 		s.applyOnce(seen)
 		select {
@@ -177,7 +183,7 @@
 	now := time.Now()
 	leaving := make(map[topology.ServerName]bool)
 	hosts := s.host.keeper.liveHosts()
-	for _, topic := range s.host.topics.replicator.List(healthTopicPrefix) {
+	for _, topic := range s.bus.List(healthTopicPrefix) {
 		if seen[topic.Name].version != topic.Version {
 			seen[topic.Name] = healthSeen{topic.Version, now}
 		}
--- a/internal/host/loads.go
+++ b/internal/host/loads.go
@@ -28,6 +28,7 @@
 // loadsService counts this host's requests by position and publishes the counts.
 type loadsService struct {
 	host     *Host
+	bus      *peersync.Replicator // set by Start
 	counters map[topology.ServiceName]*sketch.Counter
 	// published holds what was published last; counts that did not change,
 	// such as those of an idle service, are not published again.
@@ -49,6 +50,11 @@
 
 // Start publishes the counts regularly.
 func (l *loadsService) Start(_ context.Context, registry *kernel.Registry) error {
+	bus, err := lookupBus(registry)
+	if err != nil {
+		return err
+	}
+	l.bus = bus
 	registry.Every(l.Name(), loadInterval, l.publish)
 	return nil
 }
@@ -72,7 +78,7 @@
 			continue
 		}
 		l.published[service] = payload
-		peersync.PublishOwn(l.host.topics.replicator, loadTopic(service, l.host.settings.Host.Name), now, payload)
+		peersync.PublishOwn(l.bus, loadTopic(service, l.host.settings.Host.Name), now, payload)
 	}
 }
 
@@ -80,7 +86,7 @@
 func (l *loadsService) merged(service topology.ServiceName) *sketch.View {
 	config := sketch.DefaultConfig()
 	sum := sketch.New(config)
-	for _, topic := range l.host.topics.replicator.List(loadTopic(service, "")) {
+	for _, topic := range l.bus.List(loadTopic(service, "")) {
 		counts, err := sketch.Decode(topic.Payload, config.HalfLife)
 		if err != nil {
 			l.host.log.Error("placement: a host's counts not decoded",
--- a/internal/host/ownership.go
+++ b/internal/host/ownership.go
@@ -71,8 +71,10 @@
 	return p.rules.mayOwn(r, server)
 }
 
-func (o *ownershipService) Name() string       { return serviceOwnership }
-func (o *ownershipService) Requires() []string { return []string{serviceLeadership} }
+func (o *ownershipService) Name() string { return serviceOwnership }
+func (o *ownershipService) Requires() []string {
+	return []string{serviceLeadership, serviceLoads, serviceRestricted, serviceDeclarations}
+}
 
 // Start leads whenever this host is elected.
 func (o *ownershipService) Start(_ context.Context, registry *kernel.Registry) error {
--- a/internal/host/restricted.go
+++ b/internal/host/restricted.go
@@ -38,6 +38,7 @@
 // servers that may.
 type restrictedService struct {
 	host *Host
+	bus  *peersync.Replicator // set by Start
 
 	mu    sync.RWMutex
 	state map[topology.ServiceName]*restrictedKeys
@@ -67,6 +68,11 @@
 
 // Start publishes what was found.
 func (r *restrictedService) Start(_ context.Context, registry *kernel.Registry) error {
+	bus, err := lookupBus(registry)
+	if err != nil {
+		return err
+	}
+	r.bus = bus
 	registry.Every(r.Name(), restrictedInterval, r.publish)
 	return nil
 }
@@ -152,14 +158,14 @@
 			continue
 		}
 		name := restrictedTopic(service, r.host.settings.Host.Name)
-		peersync.PublishOwn(r.host.topics.replicator, name, time.Now(), payload)
+		peersync.PublishOwn(r.bus, name, time.Now(), payload)
 	}
 }
 
 // keys returns the restricted keys that all hosts found, at most maxRestricted.
 func (r *restrictedService) keys(service topology.ServiceName) []string {
 	found := make(map[string]struct{})
-	for _, topic := range r.host.topics.replicator.List(restrictedTopic(service, "")) {
+	for _, topic := range r.bus.List(restrictedTopic(service, "")) {
 		var keys []string
 		if err := json.Unmarshal(topic.Payload, &keys); err != nil {
 			r.host.log.Error("placement: a host's keys not decoded",
--- a/internal/host/routes.go
+++ b/internal/host/routes.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/peersync"
 	"github.com/cassiasill/cassiasill/internal/routing"
 	"github.com/cassiasill/cassiasill/internal/settings"
 	"github.com/cassiasill/cassiasill/internal/topology"
@@ -23,6 +24,7 @@
 // routesService keeps the routing table up to date with the leader's topics.
 type routesService struct {
 	host     *Host
+	bus      *peersync.Replicator // set by Start
 	table    *routing.Table
 	services []topology.ServiceName
 	applied  map[topology.ServiceName]topology.Version
@@ -51,6 +53,11 @@
 
 // Start follows the routes.
 func (r *routesService) Start(_ context.Context, registry *kernel.Registry) error {
+	bus, err := lookupBus(registry)
+	if err != nil {
+		return err
+	}
+	r.bus = bus
 	registry.Go(r.Name(), r.follow)
 	return nil
 }
@@ -72,7 +79,7 @@
 	ticker := time.NewTicker(refreshInterval)
 	defer ticker.Stop()
 	for {
-		changed := r.host.topics.replicator.Changed(routesTopicPrefix)
+		changed := r.bus.Changed(routesTopicPrefix)
 		r.update()
 		select {
 		case <-ctx.Done():
@@ -87,9 +94,9 @@
 func (r *routesService) update() {
 	// The age is read before the topics: routes read afterwards are at least
 	// as new as it claims.
-	age, known := r.host.topics.replicator.LeaderAge()
+	age, known := r.bus.LeaderAge()
 	for _, name := range r.services {
-		topic, ok := r.host.topics.replicator.Get(routesTopicPrefix + string(name))
+		topic, ok := r.bus.Get(routesTopicPrefix + string(name))
 		if !ok {
 			continue
 		}
--- a/internal/host/suspicions.go
+++ b/internal/host/suspicions.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/peersync"
 	"github.com/cassiasill/cassiasill/internal/quarantine"
 	"github.com/cassiasill/cassiasill/internal/topology"
 )
@@ -16,6 +17,7 @@
 // suspicionsService exchanges with the peers which requests crash upstreams.
 type suspicionsService struct {
 	host  *Host
+	bus   *peersync.Replicator // set by Start
 	table *quarantine.Table
 }
 
@@ -28,8 +30,13 @@
 
 // Start exchanges entries.
 func (s *suspicionsService) Start(_ context.Context, registry *kernel.Registry) error {
+	bus, err := lookupBus(registry)
+	if err != nil {
+		return err
+	}
+	s.bus = bus
 	registry.Go(s.Name(), func(ctx context.Context) error {
-		s.table.Share(ctx, s.host.settings.Host.Name, s.host.topics.replicator, func(err error) {
+		s.table.Share(ctx, s.host.settings.Host.Name, s.bus, func(err error) {
 			s.host.log.Error("quarantine: entries not exchanged", zap.Error(err))
 		})
 		return nil
--- a/internal/host/topics.go
+++ b/internal/host/topics.go
@@ -115,6 +115,21 @@
 	return nil
 }
 
+// Bus returns the replicated topics.
+func (t *topicsService) Bus() *peersync.Replicator { return t.replicator }
+
+// busProvider is what other services see of the topics service.
+type busProvider interface{ Bus() *peersync.Replicator }
+
+// lookupBus finds the replicated topics.
+func lookupBus(registry *kernel.Registry) (*peersync.Replicator, error) {
+	provider, err := kernel.Lookup[busProvider](registry, serviceTopics)
+	if err != nil {
+		return nil, err
+	}
+	return provider.Bus(), nil
+}
+
 // Stop closes the peer server at once: peers ask another host.
 func (t *topicsService) Stop(context.Context) error {
 	t.client.Close()
