Measure changes in force; demand TLS between hosts beyond loopback

A peer address beyond loopback without peerTLS is refused, because hosts would take orders from anyone.

--- a/cmd/cassiasill-bench/main.go
+++ b/cmd/cassiasill-bench/main.go
@@ -24,6 +24,7 @@
 		{"placement", "Compare the planner with baselines on seeded loads", &placementCommand{}},
 		{"slopes", "Measure the planner's time and memory by servers and slices", &slopesCommand{}},
 		{"balance", "Compare load policies under overload, faults and floods", &balance.Command{}},
+		{"changes", "Measure how soon accepted changes are in force on every host", &changesCommand{}},
 		{"control", "Measure what a deployment costs without callers", &controlCommand{}},
 		{"terms", "Compare ways to choose the term of a new leader", &termsCommand{}},
 		{"routing", "Measure lookups and snapshot swaps", &routingCommand{}},
--- a/internal/bench/control/run.go
+++ b/internal/bench/control/run.go
@@ -54,76 +54,110 @@
 
 // Run measures one deployment without callers.
 func Run(ctx context.Context, o Options) (Result, error) {
-	store := memory.New()
-	defer store.Close()
-	var servers []*standin.Server
+	var out Result
+	err := withDeployment(ctx, o, func(ctx context.Context, d *deployment) error {
+		var err error
+		out, err = window(ctx, o, d.store, d.counts, d.heapBefore)
+		return err
+	})
+	return out, err
+}
+
+// deployment is a running deployment.
+type deployment struct {
+	store      *memory.Store
+	base       *settings.Settings
+	hosts      []*host.Host
+	counts     []*traffic
+	heapBefore uint64
+}
+
+// withDeployment runs measure once the hosts have settled, then ends them.
+func withDeployment(ctx context.Context, o Options, measure func(context.Context, *deployment) error) error {
+	d := &deployment{store: memory.New(), base: settings.Default()}
+	defer d.store.Close()
+	servers, err := d.startServers(o)
 	defer func() {
 		for _, s := range servers {
 			s.Close()
 		}
 	}()
-	base := settings.Default()
-	base.Deployment = "control"
-	service := settings.Service{Name: "keys", DividedByKey: true, Fencing: settings.FencingChecked, Slots: 2, Connections: 1000}
+	if err != nil {
+		return err
+	}
+	var before runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	d.heapBefore = before.HeapAlloc
+	ctx, cancel := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	if err := d.startHosts(ctx, o, &group); err != nil {
+		return err
+	}
+	if err := pause.For(ctx, o.Settle); err != nil {
+		return err
+	}
+	return measure(ctx, d)
+}
+
+// startServers starts the stand-in servers and describes them in the settings.
+func (d *deployment) startServers(o Options) ([]*standin.Server, error) {
+	var servers []*standin.Server
+	d.base.Deployment = "control"
+	service := settings.Service{Name: serviceName, DividedByKey: true, Fencing: settings.FencingChecked, Slots: 2, Connections: 1000}
 	if o.Unchecked {
 		service.Fencing = settings.FencingUnchecked
 	}
 	for z := range o.Zones {
-		base.AvailabilityZones = append(base.AvailabilityZones, settings.AvailabilityZone{Name: zone(z)})
+		d.base.AvailabilityZones = append(d.base.AvailabilityZones, settings.AvailabilityZone{Name: zone(z)})
 	}
 	for i := range o.Servers {
 		name := topology.ServerName(fmt.Sprintf("keys-%d", i+1))
 		s := standin.NewServer(standin.ServerOptions{Name: name, Service: service.Name, DividedByKey: true, Slots: 2, Seed: o.Seed})
 		address, err := s.Listen("127.0.0.1:0")
 		if err != nil {
-			return Result{}, err
+			return servers, err
 		}
 		servers = append(servers, s)
 		service.Servers = append(service.Servers, topology.Server{Name: name, Service: service.Name, AvailabilityZone: zone(i % o.Zones), Address: address})
 	}
-	base.Services = []settings.Service{service}
-	var before runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	return measure(ctx, o, base, store, before.HeapAlloc)
+	d.base.Services = []settings.Service{service}
+	return servers, nil
 }
 
+// serviceName is the only service of the deployment.
+const serviceName topology.ServiceName = "keys"
+
 func zone(i int) topology.AvailabilityZone {
 	return topology.AvailabilityZone(fmt.Sprintf("zone-%d", i))
 }
 
-// measure runs the hosts and counts.
-func measure(ctx context.Context, o Options, base *settings.Settings, store *memory.Store, heapBefore uint64) (Result, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var group conc.WaitGroup
-	defer group.Wait()
-	defer cancel()
+// startHosts runs the hosts until ctx ends.
+func (d *deployment) startHosts(ctx context.Context, o Options, group *conc.WaitGroup) error {
 	hosts := hostList(o)
 	peers := make(map[string]bool, len(hosts))
 	for _, h := range hosts {
 		peers[h.PeerAddress] = true
 	}
-	counts := make([]*traffic, len(hosts))
 	for i, self := range hosts {
-		s := *base
+		s := *d.base
 		s.Hosts = hosts
 		s.Host = settings.Host{Name: self.Name, AvailabilityZone: self.AvailabilityZone,
 			Addresses: settings.Addresses{Callers: "127.0.0.1:0", Admin: "127.0.0.1:0", Peer: self.PeerAddress}}
-		counts[i] = &traffic{}
+		count := &traffic{}
 		h, err := host.New(host.Options{
-			Settings: &s, Log: zap.NewNop(), Seed: o.Seed + uint64(i), Store: store.Client(string(self.Name)),
-			Network: countedNetwork{counts[i], func(a string) bool { return peers[a] }},
+			Settings: &s, Log: zap.NewNop(), Seed: o.Seed + uint64(i), Store: d.store.Client(string(self.Name)),
+			Network: countedNetwork{count, func(a string) bool { return peers[a] }},
 		})
 		if err != nil {
-			return Result{}, err
+			return err
 		}
+		d.hosts, d.counts = append(d.hosts, h), append(d.counts, count)
 		group.Go(func() { _ = h.Run(ctx, nil) })
 	}
-	if err := pause.For(ctx, o.Settle); err != nil {
-		return Result{}, err
-	}
-	return window(ctx, o, store, counts, heapBefore)
+	return nil
 }
 
 // window counts over the measured time.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -154,3 +154,13 @@
 	assert.ErrorContains(t, s.RunAs("host-9", "", ""), `found host "host-9", expected one of hosts: [host-1 host-2 host-3]`)
 	assert.ErrorContains(t, s.RunAs("", "nowhere", ""), "host.addresses.callers")
 }
+
+// Guards against hosts that take orders from anyone on the network.
+func TestPeerAddressBeyondLoopbackNeedsTLS(t *testing.T) {
+	s, err := Deployment("aserrin")
+	assert.NilError(t, err)
+	s.Hosts[1].PeerAddress = "10.0.0.2:18380"
+	assert.ErrorContains(t, s.RunAs("host-2", "", ""), `host.addresses.peer: found "10.0.0.2:18380", expected a loopback address, or peerTLS`)
+	s.PeerTLS = TLS{Cert: "cert.pem", Key: "key.pem", ClientCA: "ca.pem"}
+	assert.NilError(t, s.RunAs("host-2", "", ""))
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -47,6 +47,9 @@
 	if s.PeerTLS.Enabled() && s.PeerTLS.ClientCA == "" {
 		d.fail("peerTLS.clientCA", "required with peerTLS.cert, because hosts verify each other")
 	}
+	if peer, err := netip.ParseAddrPort(s.Host.Addresses.Peer); err == nil && !peer.Addr().IsLoopback() && !s.PeerTLS.Enabled() {
+		d.fail("host.addresses.peer", "found %q, expected a loopback address, or peerTLS with cert, key and clientCA", s.Host.Addresses.Peer)
+	}
 }
 
 // required notes a field that is missing or empty.
