--- /dev/null
+++ b/internal/control/leadership.go
@@ -0,0 +1,383 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/boottime"
+	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
+	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
+	"github.com/cassiasill/cassiasill/internal/shards"
+	"github.com/cassiasill/cassiasill/internal/store"
+)
+
+// Timing of the leader's work.
+const (
+	serversInterval = 400 * time.Millisecond
+	// configWait is how long one call waits for a change of the configuration.
+	// A watch can fall silent, so it is short.
+	configWait = 900 * time.Millisecond
+	// hostWindow is how long a host counts as sharing the work after a sync.
+	hostWindow = 3 * time.Second
+	// tickInterval is the pace of the assignments' work.
+	tickInterval = 50 * time.Millisecond
+	// formerInterval is the pace of asking former leaders whether they stopped.
+	formerInterval = 500 * time.Millisecond
+)
+
+// leadership is one term as leader.
+type leadership struct {
+	node  *Node
+	term  int64
+	lease store.LeaseID
+	began boottime.Instant
+	lost  chan struct{}
+
+	mu        sync.Mutex
+	reason    string // why it was lost
+	confirmed boottime.Instant
+	former    []leaderRecord // may still be renewing grants
+	hosts     map[string]boottime.Instant
+	versions  fleetpb.Known
+	seen      *Snapshot // that versions describe
+	loads     map[string]*loadMeter
+	speeds    *speedMeter
+	crashes   *crashTable
+	addresses map[string]string // last known, also of servers that are gone
+
+	managers map[string]*manager // belongs to tick
+	group    conc.WaitGroup
+	woken    chan struct{}
+}
+
+// stand tries to become leader: it replaces the leader's key, which must be at
+// the given revision, 0 if there is none. In the same transaction it notes
+// itself among the leaders that may still be renewing, for the next leader.
+func (n *Node) stand(ctx context.Context, revision int64, formerValue []byte) {
+	var former []leaderRecord
+	if len(formerValue) > 0 {
+		if err := json.Unmarshal(formerValue, &former); err != nil {
+			n.Log.Warn("control: list of former leaders can't be read", zap.Error(err))
+		}
+	}
+	// A process on this host that led earlier has ended.
+	former = slices.DeleteFunc(former, func(f leaderRecord) bool { return f.Host == n.Host || f.Address == n.Address })
+	began := n.Clock()
+	lease, err := n.Store.GrantLease(ctx, LeaseTTL)
+	n.noteStore(err)
+	if err != nil {
+		return
+	}
+	self := leaderRecord{Host: n.Host, Address: n.Address}
+	value, err := json.Marshal(self)
+	if err != nil {
+		return // strings always encode
+	}
+	list, err := json.Marshal(append(slices.Clone(former), self))
+	if err != nil {
+		return // as above
+	}
+	result, err := n.Store.Txn(ctx, []store.Compare{{Key: leaderKey, ModRevision: revision}},
+		[]store.Op{{Key: leaderKey, Value: value, Lease: lease}, store.Put(formerKey, list)})
+	n.noteStore(err)
+	if err != nil || !result.Succeeded {
+		// After an unanswered call the key may be ours; its lease ends unused.
+		if err := n.Store.RevokeLease(ctx, lease); err != nil {
+			n.Log.Debug("control: unused lease not ended", zap.Error(err))
+		}
+		return
+	}
+	l := &leadership{node: n, term: result.Revision, lease: lease, began: began, confirmed: began, lost: make(chan struct{}),
+		former: former, hosts: make(map[string]boottime.Instant), loads: make(map[string]*loadMeter),
+		speeds: newSpeedMeter(), crashes: newCrashTable(), managers: make(map[string]*manager), addresses: make(map[string]string), woken: make(chan struct{}, 1)}
+	n.mu.Lock()
+	n.leader = leaderRecord{Host: n.Host, Address: n.Address, Term: l.term}
+	n.term = max(n.term, l.term)
+	n.leading = l
+	n.mu.Unlock()
+	n.view.setTerm(l.term)
+	n.Log.Info("control: leading", zap.Int64("term", l.term), zap.Int("former_leaders", len(former)))
+}
+
+// lose ends the leadership.
+func (l *leadership) lose(reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reason != "" {
+		return
+	}
+	l.reason = reason
+	close(l.lost)
+}
+
+func (l *leadership) isLost() bool {
+	select {
+	case <-l.lost:
+		return true
+	default:
+		return false
+	}
+}
+
+// mayRenew reports whether grants may be sent now. It is asked right before
+// each is written, on a clock that counts suspension.
+func (l *leadership) mayRenew() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reason == "" && l.node.Clock().Sub(l.confirmed) < outageAuthority
+}
+
+// othersStopped returns the instant from which on no former leader renews any
+// more. Until each has said so, it is the end of the longest authority.
+func (l *leadership) othersStopped() boottime.Instant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.former) == 0 {
+		return l.began
+	}
+	return l.began.Add(outageAuthority)
+}
+
+// run does the leader's work until the leadership is lost or ctx ends.
+func (l *leadership) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n := l.node
+	if servers := n.view.Load().Servers; servers != nil {
+		n.tracker.Seed(servers)
+	}
+	group := &l.group
+	group.Go(func() { l.keepLease(ctx) })
+	group.Go(func() { l.every(ctx, serversInterval, func() { l.readServers(ctx) }) })
+	group.Go(func() { l.followConfig(ctx) })
+	group.Go(func() { l.every(ctx, formerInterval, func() { l.askFormer(ctx) }) })
+	group.Go(func() { l.assign(ctx) })
+	select {
+	case <-ctx.Done():
+		l.lose("host is stopping")
+	case <-l.lost:
+	}
+	cancel()
+	group.Wait()
+	l.resign()
+	n.Log.Info("control: no longer leading", zap.Int64("term", l.term), zap.String("reason", l.reason))
+}
+
+// wake makes the assignments' work run soon.
+func (l *leadership) wake() {
+	select {
+	case l.woken <- struct{}{}:
+	default:
+	}
+}
+
+// assign runs the assignments' work at each tick and when woken.
+func (l *leadership) assign(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-l.woken:
+		}
+		l.tick(ctx)
+	}
+}
+
+func (l *leadership) tick(ctx context.Context) {
+	n := l.node
+	now := n.Clock()
+	own := &fleetpb.SyncRequest{}
+	n.Reports.take(own)
+	l.ingest(own, now)
+	snapshot := n.view.Load()
+	l.mu.Lock()
+	blocked := l.crashes.blocked(now)
+	if snapshot.Servers != nil {
+		for id, s := range snapshot.Servers.Servers {
+			l.addresses[id] = s.Address
+		}
+	}
+	l.mu.Unlock()
+	n.view.setBlocked(blocked)
+	if snapshot.Config == nil {
+		return
+	}
+	for name, service := range snapshot.Config.Services {
+		if !service.KeyOwned {
+			continue
+		}
+		if l.managers[name] == nil {
+			l.managers[name] = newManager(l, name)
+		}
+		l.managers[name].step(ctx)
+	}
+}
+
+// addressOf returns the last known address of a server.
+func (l *leadership) addressOf(id string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.addresses[id]
+}
+
+// load returns the load of a service's positions.
+func (l *leadership) load(service string, now boottime.Instant) shards.Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	meter := l.loads[service]
+	if meter == nil {
+		return shards.Load{}
+	}
+	return meter.load(now)
+}
+
+// resign ends the lease, so that the next leader need not wait for its end.
+func (l *leadership) resign() {
+	ctx, cancel := context.WithTimeout(context.Background(), LeaseTTL/4)
+	defer cancel()
+	if err := l.node.Store.RevokeLease(ctx, l.lease); err != nil {
+		l.node.Log.Debug("control: lease not ended", zap.Error(err))
+	}
+}
+
+func (l *leadership) every(ctx context.Context, interval time.Duration, work func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	work()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			work()
+		}
+	}
+}
+
+// keepLease renews the lease. While the store does not answer, the leadership
+// goes on until outageAuthority ends.
+func (l *leadership) keepLease(ctx context.Context) {
+	l.every(ctx, leaseRenewal, func() {
+		began := l.node.Clock()
+		err := l.node.Store.KeepAlive(ctx, l.lease)
+		l.node.noteStore(err)
+		var storeErr *store.Error
+		switch {
+		case err == nil:
+			l.mu.Lock()
+			l.confirmed = began
+			l.mu.Unlock()
+		case errors.As(err, &storeErr) && storeErr.Kind == store.KindNotFound:
+			l.lose("lease ended")
+		case !l.mayRenew():
+			l.lose("authority ended while the store did not answer")
+		}
+	})
+}
+
+func (l *leadership) readServers(ctx context.Context) {
+	n := l.node
+	changed := false
+	now := n.Clock()
+	l.mu.Lock()
+	for id := range l.speeds.sums {
+		if speed, ok := l.speeds.speed(id); ok {
+			changed = n.tracker.SetSpeed(id, speed) || changed
+		}
+	}
+	hosts := 1
+	for host, at := range l.hosts {
+		if now.Sub(at) > hostWindow {
+			delete(l.hosts, host)
+			continue
+		}
+		hosts++
+	}
+	l.mu.Unlock()
+	n.view.setHosts(hosts)
+	n.readServers(ctx, n.tracker)
+	if changed {
+		n.view.setServers(n.tracker.List(), n.view.Load().ServersAt)
+	}
+}
+
+// followConfig waits for changes of the configuration. After any doubt it reads
+// the configuration itself.
+func (l *leadership) followConfig(ctx context.Context) {
+	n := l.node
+	after := int64(0)
+	for ctx.Err() == nil {
+		if after == 0 {
+			if after = n.readConfig(ctx); after == 0 {
+				n.pause(ctx, retryPause)
+				continue
+			}
+		}
+		began := n.Clock()
+		batch, err := n.Store.Poll(ctx, n.Schema.ConfigKey, after, configWait)
+		n.noteStore(err)
+		if err != nil {
+			after = 0
+			continue
+		}
+		for _, event := range batch.Events {
+			if event.Key == n.Schema.ConfigKey && !event.Deleted {
+				n.takeConfig(event.KeyValue, began)
+			}
+		}
+		n.view.setConfig(nil, nil, began)
+		after = max(after, batch.Revision)
+	}
+}
+
+// askFormer asks former leaders whether they have stopped. A host that answers
+// that it does not lead has: it learned of the newer term by the question.
+func (l *leadership) askFormer(ctx context.Context) {
+	l.mu.Lock()
+	former := slices.Clone(l.former)
+	l.mu.Unlock()
+	if len(former) == 0 {
+		return
+	}
+	if l.node.Clock().Sub(l.began) > outageAuthority {
+		l.forget(ctx, former)
+		return
+	}
+	for _, f := range former {
+		callCtx, cancel := context.WithTimeout(ctx, formerInterval)
+		client := fleetpbconnect.NewFleetServiceClient(l.node.Peers, "http://"+f.Address)
+		response, err := client.Sync(callCtx, connect.NewRequest(&fleetpb.SyncRequest{Known: &fleetpb.Known{Term: l.term}}))
+		cancel()
+		if err == nil && !response.Msg.Leader {
+			l.forget(ctx, []leaderRecord{f})
+		}
+	}
+}
+
+// forget removes leaders that have stopped, here and in the store.
+func (l *leadership) forget(ctx context.Context, stopped []leaderRecord) {
+	l.mu.Lock()
+	l.former = slices.DeleteFunc(l.former, func(f leaderRecord) bool { return slices.Contains(stopped, f) })
+	left := append(slices.Clone(l.former), leaderRecord{Host: l.node.Host, Address: l.node.Address})
+	l.mu.Unlock()
+	l.node.Log.Info("control: former leaders have stopped", zap.Int("stopped", len(stopped)), zap.Int("left", len(left)-1))
+	value, err := json.Marshal(left)
+	if err != nil {
+		return // strings always encode
+	}
+	// Losing this write only makes the next leader ask or wait longer.
+	if _, err := l.node.Store.Txn(ctx, nil, []store.Op{store.Put(formerKey, value)}); err != nil {
+		l.node.Log.Debug("control: list of former leaders not written", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/control/node.go
@@ -0,0 +1,412 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/boottime"
+	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
+	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
+	"github.com/cassiasill/cassiasill/internal/registry"
+	"github.com/cassiasill/cassiasill/internal/routes"
+	"github.com/cassiasill/cassiasill/internal/shards"
+	"github.com/cassiasill/cassiasill/internal/store"
+)
+
+// Timing of the sync with the leader.
+const (
+	// syncWait is how long the leader holds a sync without news.
+	syncWait = 500 * time.Millisecond
+	// syncTimeout is longer than syncWait by what a busy leader may take.
+	syncTimeout = syncWait + 500*time.Millisecond
+	// staleAfter is the age of the server list from which a host reads the
+	// store itself.
+	staleAfter = 1100 * time.Millisecond
+	// readInterval is the shortest time between such readings.
+	readInterval = 800 * time.Millisecond
+	// electionJitter spreads the tries to become leader.
+	electionJitter = 120 * time.Millisecond
+	// retryPause follows a failed reading of the store.
+	retryPause = 250 * time.Millisecond
+	// leaderWatch is how long a host waits for the key of a leader that it
+	// can't reach to disappear.
+	leaderWatch = 700 * time.Millisecond
+)
+
+// Options configure a Node.
+type Options struct {
+	Host    string
+	Address string // of the FleetService
+	Store   Store
+	Schema  Schema
+	Orders  Orders
+	Reports *Reports
+	Peers   *http.Client
+	Clock   boottime.Clock
+	Log     *zap.Logger
+}
+
+// Node is one host's part in the control of the deployment.
+type Node struct {
+	Options
+	view *View
+
+	mu      sync.Mutex
+	leading *leadership
+	leader  leaderRecord
+	term    int64
+	// unreachable is the term of a leader that did not answer.
+	unreachable int64
+	known       *fleetpb.Known
+	readAt      boottime.Instant
+	tracker     *registry.Tracker
+	storeUp     bool
+	retired     bool
+}
+
+// leaderRecord is the value of the leader's key.
+type leaderRecord struct {
+	Host    string `json:"host"`
+	Address string `json:"address"`
+	// Term is the revision at which the key was created; it is not stored in
+	// the key itself.
+	Term int64 `json:"term,omitempty"`
+}
+
+// NewNode returns a Node with an empty View.
+func NewNode(options Options) *Node {
+	options.Log = options.Log.Named("control")
+	return &Node{Options: options, view: NewView(), tracker: registry.NewTracker(), storeUp: true}
+}
+
+// View returns what the host knows.
+func (n *Node) View() *View { return n.view }
+
+// Leading reports whether this host leads.
+func (n *Node) Leading() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leading != nil
+}
+
+// Run follows or leads until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if l := n.currentLeadership(); l != nil {
+			l.run(ctx)
+			n.setLeadership(nil)
+			continue
+		}
+		n.follow(ctx)
+	}
+	return nil
+}
+
+func (n *Node) currentLeadership() *leadership {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leading
+}
+
+func (n *Node) setLeadership(l *leadership) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leading = l
+}
+
+// Retire makes the host resign if it leads and never lead again.
+func (n *Node) Retire() {
+	n.mu.Lock()
+	n.retired = true
+	l := n.leading
+	n.mu.Unlock()
+	if l != nil {
+		l.lose("host is shutting down")
+	}
+}
+
+// follow does one step as a follower: a sync with the leader, or a reading of
+// the store if the leader is unknown or does not answer.
+func (n *Node) follow(ctx context.Context) {
+	n.mu.Lock()
+	leader, unreachable := n.leader, n.unreachable
+	n.mu.Unlock()
+	if leader.Address != "" && leader.Term != unreachable {
+		if n.syncWith(ctx, leader) {
+			if n.Clock().Sub(n.view.Load().ServersAt) > staleAfter {
+				n.readEntries(ctx)
+			}
+			return
+		}
+		n.mu.Lock()
+		n.unreachable = leader.Term
+		n.mu.Unlock()
+		n.Log.Info("control: leader does not answer", zap.String("leader", leader.Host), zap.Int64("term", leader.Term))
+	}
+	if !n.findLeader(ctx) {
+		n.pause(ctx, retryPause)
+	}
+	if n.Clock().Sub(n.view.Load().ServersAt) > readInterval {
+		n.readEntries(ctx)
+	}
+}
+
+// syncWith reports to the leader and takes what is newer. It returns false if
+// the host that was asked does not lead.
+func (n *Node) syncWith(ctx context.Context, leader leaderRecord) bool {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	request := &fleetpb.SyncRequest{Host: n.Host, WaitMillis: syncWait.Milliseconds()}
+	n.mu.Lock()
+	request.Known = n.known
+	n.mu.Unlock()
+	if request.Known == nil || request.Known.Term != leader.Term {
+		request.Known = &fleetpb.Known{Term: leader.Term}
+	}
+	n.Reports.take(request)
+	client := fleetpbconnect.NewFleetServiceClient(n.Peers, "http://"+leader.Address)
+	sentAt := n.Clock()
+	response, err := client.Sync(ctx, connect.NewRequest(request))
+	if err != nil || !response.Msg.Leader {
+		return false
+	}
+	n.apply(response.Msg, sentAt)
+	return true
+}
+
+// apply takes a leader's answer. Ages count from the answer; measured from the
+// sending of the request they are too long by at most the time it took, which
+// errs on the safe side.
+func (n *Node) apply(m *fleetpb.SyncResponse, sentAt boottime.Instant) {
+	n.mu.Lock()
+	n.known = m.Known
+	n.mu.Unlock()
+	n.view.setTerm(m.Term)
+	configAt := sentAt.Add(-time.Duration(m.ConfigAgeMillis) * time.Millisecond)
+	if len(m.Config) > 0 {
+		config, err := n.Schema.DecodeConfig(m.Config, m.Known.Config)
+		if err != nil {
+			n.Log.Warn("control: leader's configuration refused", zap.Error(err))
+		} else {
+			n.view.setConfig(config, m.Config, configAt)
+		}
+	} else {
+		n.view.setConfig(nil, nil, configAt)
+	}
+	serversAt := sentAt.Add(-time.Duration(m.ServersAgeMillis) * time.Millisecond)
+	if m.HasServers {
+		n.view.setServers(serversFromProto(m.Servers), serversAt)
+	} else {
+		n.view.setServers(nil, serversAt)
+	}
+	for _, s := range m.Shards {
+		a, err := shards.Decode(s.Document, s.Revision)
+		if err != nil {
+			n.Log.Warn("control: leader's assignment refused", zap.String("service", s.Service), zap.Error(err))
+			continue
+		}
+		n.view.setShards(s.Service, a)
+	}
+	if m.HasBlocked {
+		blocked := make(map[string]bool, len(m.Blocked))
+		for _, f := range m.Blocked {
+			blocked[string(f)] = true
+		}
+		n.view.setBlocked(blocked)
+	}
+	n.view.setHosts(int(m.Hosts))
+}
+
+// findLeader reads the hosts' own keys. If there is no leader, it tries to
+// become it. It returns false if the store did not answer.
+func (n *Node) findLeader(ctx context.Context) bool {
+	items, revision, err := n.Store.Range(ctx, ownPrefix)
+	n.noteStore(err)
+	if err != nil {
+		return false
+	}
+	var current leaderRecord
+	var found store.KeyValue
+	var former []byte
+	for _, kv := range items {
+		switch {
+		case kv.Key == leaderKey:
+			found = kv
+			if err := json.Unmarshal(kv.Value, &current); err != nil {
+				n.Log.Warn("control: leader's key can't be read", zap.Error(err))
+			}
+			current.Term = kv.CreateRevision
+		case kv.Key == formerKey:
+			former = kv.Value
+		case strings.HasPrefix(kv.Key, shardsPrefix):
+			n.takeAssignment(kv)
+		}
+	}
+	n.mu.Lock()
+	n.leader = current
+	n.term = max(n.term, current.Term)
+	unreachable, retired := n.unreachable, n.retired
+	n.mu.Unlock()
+	switch {
+	case found.Key == "" && !retired:
+		n.pause(ctx, time.Duration(rand.Float64()*float64(electionJitter)))
+		n.stand(ctx, 0, former)
+	case current.Host == n.Host && !retired:
+		// The key is from an earlier process on this host, which has ended.
+		n.stand(ctx, found.ModRevision, former)
+	case current.Term == unreachable:
+		n.awaitElection(ctx, revision)
+	}
+	return true
+}
+
+// awaitElection waits until the key of a leader that does not answer is gone
+// or changed, and for a short time at most: the leader may answer again.
+func (n *Node) awaitElection(ctx context.Context, revision int64) {
+	batch, err := n.Store.Poll(ctx, leaderKey, revision, leaderWatch)
+	n.noteStore(err)
+	if err == nil && len(batch.Events) > 0 {
+		return
+	}
+	n.mu.Lock()
+	n.unreachable = 0
+	n.mu.Unlock()
+	if err != nil {
+		n.pause(ctx, retryPause)
+	}
+}
+
+// takeAssignment takes a committed assignment read from the store.
+func (n *Node) takeAssignment(kv store.KeyValue) {
+	a, err := shards.Decode(kv.Value, kv.ModRevision)
+	if err != nil {
+		n.Log.Error("control: assignment can't be read", zap.String("key", kv.Key), zap.Error(err))
+		return
+	}
+	n.view.setShards(strings.TrimPrefix(kv.Key, shardsPrefix), a)
+}
+
+// readEntries reads the configuration and the servers from the store.
+func (n *Node) readEntries(ctx context.Context) {
+	now := n.Clock()
+	n.mu.Lock()
+	early := n.readAt != 0 && now.Sub(n.readAt) < readInterval
+	if !early {
+		n.readAt = now
+	}
+	n.mu.Unlock()
+	if early {
+		return
+	}
+	n.readConfig(ctx)
+	n.readServers(ctx, n.tracker)
+}
+
+// readConfig reads the configuration; it returns the store's revision, 0 after
+// a failure.
+func (n *Node) readConfig(ctx context.Context) int64 {
+	began := n.Clock()
+	kv, found, revision, err := n.Store.Get(ctx, n.Schema.ConfigKey)
+	n.noteStore(err)
+	if err != nil {
+		return 0
+	}
+	if found {
+		n.takeConfig(kv, began)
+	}
+	return revision
+}
+
+func (n *Node) takeConfig(kv store.KeyValue, at boottime.Instant) {
+	if old := n.view.Load().Config; old != nil && kv.ModRevision <= old.Revision {
+		n.view.setConfig(nil, nil, at)
+		return
+	}
+	config, err := n.Schema.DecodeConfig(kv.Value, kv.ModRevision)
+	if err != nil {
+		n.Log.Warn("control: configuration refused", zap.Int64("revision", kv.ModRevision), zap.Error(err))
+		return
+	}
+	n.Log.Info("control: configuration in force", zap.Int64("version", config.Version), zap.Int64("revision", config.Revision))
+	n.view.setConfig(config, kv.Value, at)
+}
+
+// readServers reads all server entries into tracker and the view.
+func (n *Node) readServers(ctx context.Context, tracker *registry.Tracker) bool {
+	began := n.Clock()
+	items, _, err := n.Store.Range(ctx, n.Schema.ServersPrefix)
+	n.noteStore(err)
+	if err != nil {
+		tracker.Failed(began)
+		return false
+	}
+	servers := make([]registry.Server, 0, len(items))
+	for _, kv := range items {
+		s, err := n.Schema.DecodeServer(kv)
+		if err != nil {
+			n.Log.Debug("control: server entry ignored", zap.Error(err))
+			continue
+		}
+		servers = append(servers, s)
+	}
+	if !tracker.Observe(servers, began) {
+		n.view.setServers(nil, began)
+		return true
+	}
+	n.view.setServers(tracker.List(), began)
+	return true
+}
+
+// noteStore logs when the store is lost and regained.
+func (n *Node) noteStore(err error) {
+	n.mu.Lock()
+	changed := n.storeUp != (err == nil)
+	n.storeUp = err == nil
+	n.mu.Unlock()
+	switch {
+	case !changed:
+	case err != nil:
+		n.Log.Warn("control: store lost", zap.Error(err))
+	default:
+		n.Log.Info("control: store regained")
+	}
+}
+
+func (n *Node) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// config returns the configuration, nil before the first.
+func (n *Node) config() *routes.Config { return n.view.Load().Config }
+
+func serversFromProto(list []*fleetpb.Server) *registry.List {
+	out := &registry.List{Servers: make(map[string]registry.Server, len(list))}
+	for _, s := range list {
+		out.Servers[s.Id] = registry.Server{ID: s.Id, Service: s.Service, Address: s.Address, AvailabilityZone: s.AvailabilityZone,
+			Slots: int(s.Slots), Draining: s.Draining, Born: s.Born, Speed: s.Speed,
+			Warmup: time.Duration(s.WarmupSeconds * float64(time.Second))}
+	}
+	return out
+}
+
+func serversToProto(list *registry.List) []*fleetpb.Server {
+	out := make([]*fleetpb.Server, 0, len(list.Servers))
+	for _, s := range list.Servers {
+		out = append(out, &fleetpb.Server{Id: s.ID, Service: s.Service, Address: s.Address, AvailabilityZone: s.AvailabilityZone,
+			Slots: uint32(s.Slots), Draining: s.Draining, Born: s.Born, Speed: s.Speed, WarmupSeconds: s.Warmup.Seconds()})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/sync.go
@@ -0,0 +1,150 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/boottime"
+	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
+)
+
+// Sync serves fleetpbconnect.FleetServiceHandler.
+func (n *Node) Sync(ctx context.Context, r *connect.Request[fleetpb.SyncRequest]) (*connect.Response[fleetpb.SyncResponse], error) {
+	known := r.Msg.Known
+	if known == nil {
+		known = &fleetpb.Known{}
+	}
+	l := n.currentLeadership()
+	if l != nil && known.Term > l.term {
+		l.lose("another host leads a later term")
+	}
+	if l == nil || l.isLost() {
+		return connect.NewResponse(&fleetpb.SyncResponse{}), nil
+	}
+	l.ingest(r.Msg, n.Clock())
+	wait := min(time.Duration(r.Msg.WaitMillis)*time.Millisecond, syncWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changed := n.view.Changed()
+		response, news := l.news(known)
+		if news || wait <= 0 {
+			return connect.NewResponse(response), nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			wait = 0
+		case <-l.lost:
+			return connect.NewResponse(&fleetpb.SyncResponse{}), nil
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+		}
+	}
+}
+
+// ingest takes a host's report.
+func (l *leadership) ingest(m *fleetpb.SyncRequest, now boottime.Instant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m.Host != "" && m.Host != l.node.Host {
+		l.hosts[m.Host] = now
+	}
+	for _, load := range m.Loads {
+		meter := l.loads[load.Service]
+		if meter == nil {
+			meter = newLoadMeter(now)
+			l.loads[load.Service] = meter
+		}
+		meter.add(load)
+	}
+	for _, s := range m.Servers {
+		l.speeds.add(s, now)
+	}
+	for _, c := range m.Crashes {
+		l.crashes.note(c, now)
+	}
+}
+
+// news returns the answer to a host that knows the given versions, and whether
+// it holds anything new. Versions of another term say nothing.
+func (l *leadership) news(known *fleetpb.Known) (*fleetpb.SyncResponse, bool) {
+	now := l.node.Clock()
+	snapshot, versions := l.describe(l.node.view.Load())
+	if known.Term != l.term {
+		known = &fleetpb.Known{}
+	}
+	out := &fleetpb.SyncResponse{Leader: true, Term: l.term, Known: versions, Hosts: uint32(snapshot.Hosts),
+		ConfigAgeMillis: now.Sub(snapshot.ConfigAt).Milliseconds(), ServersAgeMillis: now.Sub(snapshot.ServersAt).Milliseconds()}
+	news := false
+	if versions.Config != known.Config {
+		out.Config, news = snapshot.ConfigRaw, true
+	}
+	if versions.Servers != known.Servers && snapshot.Servers != nil {
+		out.Servers, out.HasServers, news = serversToProto(snapshot.Servers), true, true
+	}
+	if versions.Shards != known.Shards {
+		news = true
+		for service, a := range snapshot.Shards {
+			document, err := a.Encode()
+			if err != nil {
+				l.node.Log.Error("control: assignment can't be encoded", zap.String("service", service), zap.Error(err))
+				continue
+			}
+			out.Shards = append(out.Shards, &fleetpb.Shards{Service: service, Document: document, Revision: a.Revision})
+		}
+	}
+	if versions.Blocked != known.Blocked {
+		out.HasBlocked, news = true, true
+		for f := range snapshot.Blocked {
+			out.Blocked = append(out.Blocked, []byte(f))
+		}
+	}
+	return out, news
+}
+
+// describe numbers the parts of a snapshot. A part gets a new number when it is
+// replaced. It returns the snapshot that the numbers belong to, which is a newer
+// one if that was described before.
+func (l *leadership) describe(s *Snapshot) (*Snapshot, *fleetpb.Known) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old := l.seen
+	if old == nil {
+		old = &Snapshot{}
+		l.versions = fleetpb.Known{Term: l.term, Servers: 1, Shards: 1, Blocked: 1}
+	}
+	// A snapshot that was loaded before one already described is older.
+	if s.Generation >= old.Generation {
+		if s.Config != nil {
+			l.versions.Config = s.Config.Revision
+		}
+		if s.Servers != old.Servers {
+			l.versions.Servers++
+		}
+		if !sameShards(s, old) {
+			l.versions.Shards++
+		}
+		if len(s.Blocked) != len(old.Blocked) {
+			l.versions.Blocked++
+		}
+		l.seen = s
+	}
+	v := &l.versions
+	return l.seen, &fleetpb.Known{Term: v.Term, Config: v.Config, Servers: v.Servers, Shards: v.Shards, Blocked: v.Blocked}
+}
+
+func sameShards(a, b *Snapshot) bool {
+	if len(a.Shards) != len(b.Shards) {
+		return false
+	}
+	for service, assignment := range a.Shards {
+		if b.Shards[service] != assignment {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,133 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// tickInterval is the pace at which waiting requests are looked at again:
+// pauses of servers end and estimates change without an event.
+const tickInterval = 10 * time.Millisecond
+
+// Dispatcher runs the Cores of all services of one process.
+type Dispatcher struct {
+	start time.Time
+
+	mu      sync.Mutex
+	cores   map[string]*Core
+	waiting map[uint64]chan Decision
+	next    uint64
+	pending chan struct{} // wakes Run when requests wait
+}
+
+// NewDispatcher returns a Dispatcher without services.
+func NewDispatcher() *Dispatcher {
+	return &Dispatcher{start: time.Now(), cores: make(map[string]*Core), waiting: make(map[uint64]chan Decision), pending: make(chan struct{}, 1)}
+}
+
+// Now returns the Dispatcher's time.
+func (d *Dispatcher) Now() Instant { return d.At(time.Now()) }
+
+// At converts a time.
+func (d *Dispatcher) At(t time.Time) Instant { return Instant(t.Sub(d.start)) }
+
+// SetService creates or changes the Core of a service.
+func (d *Dispatcher) SetService(service string, share float64, extra int, owner func(position int) OwnerState, servers []Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	core := d.cores[service]
+	if core == nil {
+		core = NewCore(share, extra, nil)
+		d.cores[service] = core
+	}
+	core.owner = owner
+	core.SetShare(share, extra)
+	d.deliver(core.SetServers(d.Now(), servers))
+}
+
+// Acquire waits for a server for the request. After a decision that names a
+// server, Release must be called with the returned number.
+func (d *Dispatcher) Acquire(ctx context.Context, ask Ask) (Decision, uint64) {
+	d.mu.Lock()
+	core := d.cores[ask.Service]
+	if core == nil {
+		d.mu.Unlock()
+		return Decision{Reason: ReasonNoServer, RetryAfter: 4 * retryAfterMin}, 0
+	}
+	d.next++
+	ask.ID = d.next
+	result := make(chan Decision, 1)
+	d.waiting[ask.ID] = result
+	d.deliver(core.Ask(d.Now(), ask))
+	d.mu.Unlock()
+	select {
+	case decision := <-result:
+		return decision, ask.ID
+	default:
+	}
+	select {
+	case d.pending <- struct{}{}:
+	default:
+	}
+	select {
+	case decision := <-result:
+		return decision, ask.ID
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.waiting[ask.ID] == nil {
+		// The decision came at the same moment.
+		return <-result, ask.ID
+	}
+	delete(d.waiting, ask.ID)
+	d.deliver(core.Cancel(d.Now(), ask.ID))
+	return Decision{Reason: ReasonOverload, RetryAfter: retryAfterMin}, 0
+}
+
+// Release tells how a request ended at its server.
+func (d *Dispatcher) Release(service string, id uint64, result Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if core := d.cores[service]; core != nil {
+		d.deliver(core.Done(d.Now(), id, result))
+	}
+}
+
+func (d *Dispatcher) deliver(decisions []Decision) {
+	for _, decision := range decisions {
+		if result := d.waiting[decision.ID]; result != nil {
+			delete(d.waiting, decision.ID)
+			result <- decision
+		}
+	}
+}
+
+// Run looks at waiting requests until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.pending:
+		}
+		ticker := time.NewTicker(tickInterval)
+		for d.tick() && ctx.Err() == nil {
+			<-ticker.C
+		}
+		ticker.Stop()
+	}
+}
+
+// tick looks at all queues and reports whether a request still waits.
+func (d *Dispatcher) tick() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	waits := false
+	for _, core := range d.cores {
+		d.deliver(core.Tick(d.Now()))
+		waits = waits || len(core.queue) > 0
+	}
+	return waits
+}
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,403 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/control"
+	"github.com/cassiasill/cassiasill/internal/dispatch"
+	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/quarantine"
+	"github.com/cassiasill/cassiasill/internal/routes"
+)
+
+// Settings of the request path.
+const (
+	// heldBody is the largest request body that is held for sending it again.
+	heldBody = 256 << 10
+	// answerMargin is kept from the deadline for the answer's way to the caller.
+	answerMargin = 5 * time.Millisecond
+	// unknownRetry is the advice to callers while the host knows no routes.
+	unknownRetry = 300 * time.Millisecond
+	// minResend is the least time that a repeat must have left, as a part of
+	// the expected work; a shorter one can't succeed.
+	minResend = 0.5
+)
+
+// Options configure a Handler.
+type Options struct {
+	AvailabilityZone string
+	Headers          exchange.Headers
+	View             *control.View
+	Reports          *control.Reports
+	Dispatcher       *dispatch.Dispatcher
+	Servers          *Servers
+	Budget           *Budget
+	Metrics          *Metrics
+	Log              *zap.Logger
+}
+
+// Handler serves callers.
+type Handler struct {
+	Options
+	splitter *routes.Splitter
+	offset   float64
+	traffic  *traffic
+	draining atomic.Bool
+}
+
+// NewHandler returns a Handler.
+func NewHandler(options Options) *Handler {
+	options.Log = options.Log.Named("entry")
+	return &Handler{Options: options, splitter: routes.NewSplitter(), offset: rand.Float64(), traffic: newTraffic()}
+}
+
+// Drain makes each answer end its connection.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
+// request is one caller's request on its way.
+type request struct {
+	id       string
+	started  time.Time
+	deadline time.Time // of the caller or the route, whichever is first
+	route    *routes.Route
+	service  string
+	position int
+	ask      dispatch.Ask
+	send     exchange.Request
+	tries    tries
+	// refusal is the kind of the last refusal by a server, for the log.
+	servers []string
+	work    time.Duration
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	snapshot := h.View.Load()
+	if snapshot.Config == nil || snapshot.Servers == nil {
+		h.reject(w, nil, r, &apierror.Error{Kind: apierror.KindStale, Detail: "no configuration yet", RetryAfter: unknownRetry})
+		return
+	}
+	route := snapshot.Config.Match(r.Host, pathOf(r))
+	if route == nil {
+		h.reject(w, nil, r, apierror.New(apierror.KindNotFound, "no route for host %s", r.Host))
+		return
+	}
+	q, failure := h.accept(r, snapshot, route, started)
+	if failure != nil {
+		h.reject(w, q, r, failure)
+		return
+	}
+	h.Metrics.began(route)
+	result, failure := h.serve(r.Context(), snapshot, q)
+	switch {
+	case failure != nil && failure.Kind == apierror.KindCanceled:
+		h.Metrics.ended(route, "canceled", time.Since(started))
+		panic(http.ErrAbortHandler)
+	case failure != nil:
+		h.reject(w, q, r, failure)
+	default:
+		h.answer(w, q, result)
+	}
+}
+
+// pathOf returns the path as the caller sent it, without the query.
+func pathOf(r *http.Request) string {
+	target, _, _ := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(target, "/") {
+		return r.URL.EscapedPath()
+	}
+	return target
+}
+
+// accept reads the request and works out its limits.
+func (h *Handler) accept(r *http.Request, snapshot *control.Snapshot, route *routes.Route, started time.Time) (*request, *apierror.Error) {
+	q := &request{id: r.Header.Get(h.Headers.RequestID), started: started, route: route, position: dispatch.NoPosition}
+	q.deadline = started.Add(route.Timeout)
+	clientDeadline := q.deadline
+	if text := r.Header.Get(h.Headers.DeadlineMillis); text != "" {
+		millis, err := strconv.ParseFloat(text, 64)
+		if err != nil || millis < 0 {
+			return q, apierror.New(apierror.KindBadRequest, "%s: %q is not a number of milliseconds", h.Headers.DeadlineMillis, text)
+		}
+		clientDeadline = started.Add(time.Duration(millis * float64(time.Millisecond)))
+	}
+	if clientDeadline.Before(q.deadline) {
+		q.deadline = clientDeadline
+	}
+	if limit := snapshot.Config.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
+		return q, apierror.New(apierror.KindTooLarge, "the body has %d bytes, at most %d are allowed", r.ContentLength, limit)
+	}
+	q.service = h.splitter.Pick(route, h.offset)
+	if text := r.Header.Get(h.Headers.KeyPosition); text != "" && snapshot.Config.Services[q.service].KeyOwned {
+		position, err := strconv.ParseUint(text, 10, 16)
+		if err != nil {
+			return q, apierror.New(apierror.KindBadRequest, "%s: %q is not a key position", h.Headers.KeyPosition, text)
+		}
+		q.position = int(position)
+		h.Reports.CountKey(q.service, uint16(position))
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, heldBody))
+	if err != nil {
+		return q, apierror.Wrap(apierror.KindCanceled, err, "the body could not be read")
+	}
+	q.send = exchange.Request{ID: q.id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: forwarded(r.Header, &h.Headers),
+		Body: body, Length: r.ContentLength, FreshOnly: !route.Kind.Repeatable()}
+	if len(body) == heldBody {
+		q.send.Rest = r.Body
+	} else {
+		q.send.Length = int64(len(body))
+	}
+	if snapshot.Blocked[string(h.fingerprint(q))] {
+		return q, apierror.New(apierror.KindQuarantined, "the request has crashed several servers")
+	}
+	work, size := h.traffic.cost(route)
+	q.work = work
+	q.ask = dispatch.Ask{Service: q.service, Position: q.position, Priority: route.Priority, Repeatable: route.Kind.Repeatable(),
+		Zone: h.AvailabilityZone, AnswerBytes: size, Work: work, Salt: rand.Uint64(),
+		Target: h.Dispatcher.At(started.Add(route.Target)), Deadline: h.Dispatcher.At(q.deadline.Add(-answerMargin))}
+	h.Budget.Request(q.service, started)
+	return q, nil
+}
+
+// fingerprint identifies requests that are equal for a server.
+func (h *Handler) fingerprint(q *request) []byte {
+	f := quarantine.FingerprintOf("", q.send.Method, q.send.Host+q.send.Target, q.send.Body)
+	return f[:]
+}
+
+// serve sends the request until it has an answer or may be sent no more.
+func (h *Handler) serve(ctx context.Context, snapshot *control.Snapshot, q *request) (exchange.Result, *apierror.Error) {
+	for {
+		decision, number := h.Dispatcher.Acquire(ctx, q.ask)
+		if ctx.Err() != nil && decision.Server == "" {
+			return exchange.Result{}, apierror.New(apierror.KindCanceled, "the caller left while the request waited")
+		}
+		if decision.Server == "" {
+			return exchange.Result{}, h.notPlaced(q, decision)
+		}
+		result := h.try(ctx, q, decision, number)
+		v := judge(q.route.Kind, q.route.Attempts, q.tries, result)
+		if v.next == resend && !h.mayResend(q, v) {
+			v = h.final(q, result)
+		}
+		switch v.next {
+		case deliver:
+			return result, nil
+		case drop:
+			return result, apierror.New(apierror.KindCanceled, "the caller left")
+		case fail:
+			return result, h.failed(q, v.kind, result)
+		}
+		if result.Rest != nil {
+			h.close(result)
+		}
+	}
+}
+
+// try sends the request to one server.
+func (h *Handler) try(ctx context.Context, q *request, decision dispatch.Decision, number uint64) exchange.Result {
+	pool, instance, ok := h.Servers.Pool(decision.Server)
+	if !ok {
+		h.Dispatcher.Release(q.service, number, dispatch.Result{Outcome: dispatch.Abandoned})
+		q.tries.unsent++
+		return exchange.Result{Outcome: exchange.NotSent, Err: errors.New("the server has left")}
+	}
+	q.send.Deadline, q.send.Instance = q.deadline, instance
+	sentAt := time.Now()
+	result := pool.Do(ctx, &q.send)
+	took := time.Since(sentAt)
+	h.count(q, decision, result, took)
+	h.Dispatcher.Release(q.service, number, outcomeOf(result))
+	h.Metrics.tried(result, took)
+	if result.Outcome != exchange.Answered || result.Status >= http.StatusInternalServerError {
+		h.Log.Info("entry: try ended without success", zap.String("request", q.id), zap.String("route", q.route.Name),
+			zap.String("server", decision.Server), zap.Stringer("outcome", result.Outcome), zap.Int("status", result.Status),
+			zap.Duration("waited", decision.Waited), zap.Duration("took", took), zap.Int64("config", h.View.Load().Config.Version), zap.Error(result.Err))
+	}
+	return result
+}
+
+// count notes what an exchange says of the request, the route and the server.
+func (h *Handler) count(q *request, decision dispatch.Decision, result exchange.Result, took time.Duration) {
+	q.servers = append(q.servers, decision.Server)
+	answered := result.Outcome == exchange.Answered
+	success := answered && result.Status < http.StatusInternalServerError
+	switch {
+	case result.Outcome == exchange.NotSent:
+		q.tries.unsent++
+	case result.Outcome == exchange.Refused:
+		q.tries.refused++
+	default:
+		q.tries.maybe++
+	}
+	if !result.Misdirected {
+		q.ask.Exclude = append(q.ask.Exclude, decision.Server)
+	}
+	if success {
+		calm := !decision.Crowded && (!result.HasLoad || result.Load.Waiting == 0)
+		if !calm {
+			took = 0
+		}
+		h.traffic.note(q.route, took, decision.Speed, len(result.Body))
+		observed := took
+		expected := q.work
+		if took == 0 {
+			expected = 0
+		}
+		h.Reports.CountAnswer(decision.Server, false, expected, observed)
+		if q.tries.maybe > 1 {
+			h.Reports.CountCrash(h.fingerprint(q), decision.Server, true)
+		}
+		return
+	}
+	h.Reports.CountAnswer(decision.Server, true, 0, 0)
+	if result.Outcome == exchange.Broken {
+		h.Reports.CountCrash(h.fingerprint(q), decision.Server, false)
+	}
+}
+
+// outcomeOf translates a result for the dispatcher.
+func outcomeOf(result exchange.Result) dispatch.Result {
+	out := dispatch.Result{Running: result.Load.Running, Waiting: result.Load.Waiting, HasLoad: result.HasLoad}
+	switch {
+	case result.Outcome == exchange.Answered && result.Status < http.StatusInternalServerError:
+		out.Outcome = dispatch.Succeeded
+	case result.Misdirected, result.Outcome == exchange.Canceled:
+		out.Outcome = dispatch.Abandoned
+	case result.Outcome == exchange.Refused:
+		out.Outcome = dispatch.Shed
+	case result.Outcome == exchange.NotSent:
+		out.Outcome = dispatch.Unreachable
+	default:
+		out.Outcome = dispatch.Failed
+	}
+	return out
+}
+
+// mayResend reports whether budget and time allow another try.
+func (h *Handler) mayResend(q *request, v verdict) bool {
+	if q.send.Rest != nil {
+		return false
+	}
+	if time.Until(q.deadline) < time.Duration(minResend*float64(q.work)) {
+		return false
+	}
+	return !v.arrival || h.Budget.Allow(q.service, time.Now())
+}
+
+// final is the verdict on a result that may not be followed by another try.
+func (h *Handler) final(q *request, result exchange.Result) verdict {
+	switch result.Outcome {
+	case exchange.Answered:
+		return verdict{next: deliver}
+	case exchange.NotSent, exchange.Refused:
+		return verdict{next: fail, kind: notRunUnless(q.tries, apierror.KindOverloaded)}
+	default:
+		return verdict{next: fail, kind: apierror.KindUpstreamFailed}
+	}
+}
+
+// notPlaced is the error of a request that got no server.
+func (h *Handler) notPlaced(q *request, decision dispatch.Decision) *apierror.Error {
+	kind := apierror.KindOverloaded
+	switch decision.Reason {
+	case dispatch.ReasonNoOwner:
+		kind = apierror.KindNoOwner
+	case dispatch.ReasonNoServer:
+		kind = apierror.KindNoUpstream
+	}
+	return &apierror.Error{Kind: notRunUnless(q.tries, kind), RetryAfter: decision.RetryAfter,
+		Detail: "waited " + decision.Waited.Round(time.Millisecond).String()}
+}
+
+func (h *Handler) failed(q *request, kind apierror.Kind, result exchange.Result) *apierror.Error {
+	if time.Now().After(q.deadline.Add(-answerMargin)) && q.tries.maybe > 0 {
+		kind = apierror.KindTimeout
+	}
+	return &apierror.Error{Kind: kind, Detail: result.Outcome.String(), Err: result.Err, RetryAfter: 2 * answerMargin}
+}
+
+// answer passes a server's answer on.
+func (h *Handler) answer(w http.ResponseWriter, q *request, result exchange.Result) {
+	header := w.Header()
+	for name, values := range returned(result.Header, &h.Headers) {
+		header[name] = values
+	}
+	if result.Rest == nil {
+		header.Set("Content-Length", strconv.Itoa(len(result.Body)))
+	} else if result.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(result.Length, 10))
+	}
+	w.WriteHeader(result.Status)
+	if err := h.copyBody(w, result); err != nil {
+		h.Log.Info("entry: answer broken off", zap.String("request", q.id), zap.Error(err))
+		h.Metrics.ended(q.route, "broken-off", time.Since(q.started))
+		// An answer that ends early must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+	h.Metrics.ended(q.route, strconv.Itoa(result.Status), time.Since(q.started))
+}
+
+func (h *Handler) copyBody(w http.ResponseWriter, result exchange.Result) error {
+	if _, err := io.Copy(w, bytes.NewReader(result.Body)); err != nil {
+		return err
+	}
+	if result.Rest == nil {
+		return nil
+	}
+	defer h.close(result)
+	_, err := io.Copy(w, result.Rest)
+	return err
+}
+
+// close ends what is left of a large answer.
+func (h *Handler) close(result exchange.Result) {
+	if err := result.Rest.Close(); err != nil {
+		h.Log.Debug("entry: connection not closed", zap.Error(err))
+	}
+}
+
+// reject answers with an error of the project's own.
+func (h *Handler) reject(w http.ResponseWriter, q *request, r *http.Request, failure *apierror.Error) {
+	answer := failure.Answer()
+	if q == nil {
+		q = &request{id: r.Header.Get(h.Headers.RequestID), started: time.Now()}
+	}
+	h.Metrics.ended(q.route, string(failure.Kind), time.Since(q.started))
+	h.Log.Info("entry: request failed", zap.String("request", q.id), zap.String("kind", string(failure.Kind)),
+		zap.Int("status", answer.Status), zap.Duration("after", time.Since(q.started)), zap.String("detail", failure.Detail),
+		zap.Duration("retry_after", answer.RetryAfter), zap.Strings("servers", q.servers), zap.Error(failure.Err))
+	if failure.Kind == apierror.KindCanceled {
+		panic(http.ErrAbortHandler)
+	}
+	header := w.Header()
+	if q.id != "" {
+		header.Set(h.Headers.RequestID, q.id)
+	}
+	if answer.RetryAfter > 0 && answer.Status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", strconv.FormatFloat(answer.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	body := []byte(string(failure.Kind) + "\n")
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(answer.Status)
+	if _, err := w.Write(body); err != nil {
+		h.Log.Debug("entry: answer not written", zap.String("request", q.id), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/entryhost/host.go
@@ -0,0 +1,100 @@
+// Package entryhost assembles an entry host that runs on a platform with a
+// linearizable store: the services of its kernel and what they share.
+package entryhost
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/boottime"
+	"github.com/cassiasill/cassiasill/internal/control"
+	"github.com/cassiasill/cassiasill/internal/dispatch"
+	"github.com/cassiasill/cassiasill/internal/entry"
+	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/telemetry"
+)
+
+// Names under which the services find each other.
+const (
+	nameControl  = "control"
+	nameDispatch = "dispatch"
+	nameEntry    = "entry"
+	nameAdmin    = "admin"
+)
+
+// stopMargin is kept from the platform's grace for the end of the process.
+const stopMargin = 350 * time.Millisecond
+
+// Options configure a Host.
+type Options struct {
+	Name             string
+	AvailabilityZone string
+	CallersAddress   string
+	ReadinessAddress string
+	// ReadinessPath is where the balancer asks.
+	ReadinessPath  string
+	PeerAddress    string
+	MetricsAddress string
+	Headers        exchange.Headers
+	Store          control.Store
+	Schema         control.Schema
+	Orders         control.Orders
+	// RetryShare, RetryBurst and RetryWindow bound the repeats of all hosts.
+	RetryShare  float64
+	RetryBurst  float64
+	RetryWindow time.Duration
+	// Grace is how long the process may take to stop.
+	Grace time.Duration
+	Dial  exchange.DialFunc
+	Clock boottime.Clock
+	Log   *zap.Logger
+}
+
+// Host is one entry host.
+type Host struct{ kernel *kernel.Kernel }
+
+// New assembles a host; Run starts it.
+func New(options Options) (*Host, error) {
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	instruments, err := entry.NewMetrics(metrics.Meter("entry"))
+	if err != nil {
+		return nil, err
+	}
+	options.Log = options.Log.With(zap.String("host", options.Name))
+	c := newControlService(options)
+	if err := registerState(metrics.Meter("control"), c.node); err != nil {
+		return nil, err
+	}
+	d := &dispatchService{dispatcher: dispatch.NewDispatcher()}
+	e := &entryService{options: options, metrics: instruments}
+	a := &adminService{options: options, metrics: metrics}
+	stop := max(options.Grace-stopMargin, time.Second)
+	return &Host{kernel: kernel.New(options.Log, stop, c, d, a, e)}, nil
+}
+
+// Run serves until ctx ends, then finishes the requests in flight.
+func (h *Host) Run(ctx context.Context) error { return h.kernel.Run(ctx, nil) }
+
+// peerClient returns a client for calls between hosts and to the store.
+func peerClient(dial exchange.DialFunc) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}}
+}
+
+// listen opens a TCP listener.
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(ctx, "tcp", address)
+}
--- /dev/null
+++ b/internal/entryhost/services.go
@@ -0,0 +1,188 @@
+package entryhost
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/control"
+	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
+	"github.com/cassiasill/cassiasill/internal/dispatch"
+	"github.com/cassiasill/cassiasill/internal/entry"
+	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/telemetry"
+)
+
+// controlService runs the host's part in the control and answers other hosts.
+type controlService struct {
+	options Options
+	node    *control.Node
+	server  *http.Server
+}
+
+func newControlService(options Options) *controlService {
+	return &controlService{options: options, node: control.NewNode(control.Options{
+		Host: options.Name, Address: options.PeerAddress, Store: options.Store, Schema: options.Schema, Orders: options.Orders,
+		Reports: control.NewReports(), Peers: peerClient(options.Dial), Clock: options.Clock, Log: options.Log,
+	})}
+}
+
+func (s *controlService) Name() string       { return nameControl }
+func (s *controlService) Requires() []string { return nil }
+
+// Node returns the control of this host to the services that look it up.
+func (s *controlService) Node() *control.Node { return s.node }
+
+func (s *controlService) Start(ctx context.Context, registry *kernel.Registry) error {
+	listener, err := listen(ctx, s.options.PeerAddress)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(fleetpbconnect.NewFleetServiceHandler(s.node))
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ErrorLog: log.New(io.Discard, "", 0)}
+	registry.Go(nameControl+" server", func(context.Context) error {
+		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	registry.Go(nameControl, s.node.Run)
+	return nil
+}
+
+func (s *controlService) Stop(context.Context) error { return s.server.Close() }
+
+// dispatchService runs the decisions of waiting requests.
+type dispatchService struct{ dispatcher *dispatch.Dispatcher }
+
+func (s *dispatchService) Name() string       { return nameDispatch }
+func (s *dispatchService) Requires() []string { return nil }
+
+// Dispatcher returns the dispatcher to the services that look it up.
+func (s *dispatchService) Dispatcher() *dispatch.Dispatcher { return s.dispatcher }
+
+func (s *dispatchService) Start(_ context.Context, registry *kernel.Registry) error {
+	registry.Go(nameDispatch, s.dispatcher.Run)
+	return nil
+}
+
+func (s *dispatchService) Stop(context.Context) error { return nil }
+
+// entryService serves callers.
+type entryService struct {
+	options  Options
+	metrics  *entry.Metrics
+	node     *control.Node
+	server   *entry.Server
+	stopping atomic.Bool
+}
+
+func (s *entryService) Name() string       { return nameEntry }
+func (s *entryService) Requires() []string { return []string{nameControl, nameDispatch, nameAdmin} }
+
+func (s *entryService) Start(ctx context.Context, registry *kernel.Registry) error {
+	controls, err := kernel.Lookup[interface{ Node() *control.Node }](registry, nameControl)
+	if err != nil {
+		return err
+	}
+	dispatchers, err := kernel.Lookup[interface{ Dispatcher() *dispatch.Dispatcher }](registry, nameDispatch)
+	if err != nil {
+		return err
+	}
+	admin, err := kernel.Lookup[interface{ SetReady(func() bool) }](registry, nameAdmin)
+	if err != nil {
+		return err
+	}
+	s.node = controls.Node()
+	servers := entry.NewServers(&s.options.Headers, s.options.Dial, dispatchers.Dispatcher(), s.metrics.ConnectionOpened)
+	budget := entry.NewBudget(s.options.RetryShare, s.options.RetryBurst, s.options.RetryWindow)
+	s.node.View().OnChange(func(snapshot *control.Snapshot) {
+		budget.SetHosts(snapshot.Hosts)
+		servers.Update(snapshot)
+	})
+	handler := entry.NewHandler(entry.Options{AvailabilityZone: s.options.AvailabilityZone, Headers: s.options.Headers,
+		View: s.node.View(), Reports: s.node.Reports, Dispatcher: dispatchers.Dispatcher(), Servers: servers,
+		Budget: budget, Metrics: s.metrics, Log: s.options.Log})
+	s.server = entry.NewServer(handler)
+	listener, err := listen(ctx, s.options.CallersAddress)
+	if err != nil {
+		return err
+	}
+	registry.Go(nameEntry, func(context.Context) error { return s.server.Serve(listener) })
+	registry.Every(nameEntry+" sweep", time.Second, func() {
+		now := time.Now()
+		servers.Sweep(now)
+		s.server.Sweep(now)
+	})
+	admin.SetReady(s.ready)
+	return nil
+}
+
+// ready reports whether the balancer should send callers here.
+func (s *entryService) ready() bool { return !s.stopping.Load() && s.node.View().Load().Known() }
+
+func (s *entryService) Stop(ctx context.Context) error {
+	s.options.Log.Info("entry: stopping")
+	s.stopping.Store(true)
+	s.node.Retire()
+	return s.server.Stop(ctx)
+}
+
+// adminService answers the balancer and serves metrics.
+type adminService struct {
+	options Options
+	metrics *telemetry.Metrics
+	ready   atomic.Pointer[func() bool]
+	servers []*http.Server
+}
+
+func (s *adminService) Name() string       { return nameAdmin }
+func (s *adminService) Requires() []string { return nil }
+
+// SetReady sets the function that tells whether the host is ready.
+func (s *adminService) SetReady(ready func() bool) { s.ready.Store(&ready) }
+
+func (s *adminService) Start(ctx context.Context, registry *kernel.Registry) error {
+	readiness := httprouter.New()
+	readiness.GET(s.options.ReadinessPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if ready := s.ready.Load(); ready == nil || !(*ready)() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	metrics := httprouter.New()
+	metrics.Handler(http.MethodGet, "/metrics", s.metrics.Handler())
+	for address, handler := range map[string]http.Handler{s.options.ReadinessAddress: readiness, s.options.MetricsAddress: metrics} {
+		listener, err := listen(ctx, address)
+		if err != nil {
+			return err
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, ErrorLog: log.New(io.Discard, "", 0)}
+		s.servers = append(s.servers, server)
+		registry.Go(nameAdmin, func(context.Context) error {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+	}
+	return nil
+}
+
+func (s *adminService) Stop(ctx context.Context) error {
+	var errs []error
+	for _, server := range s.servers {
+		errs = append(errs, server.Close())
+	}
+	if err := s.metrics.Shutdown(ctx); err != nil {
+		s.options.Log.Debug("admin: metrics not shut down", zap.Error(err))
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,149 @@
+// Package registry keeps the list of servers as the store's entries tell it.
+//
+// A server that has been seen leaving stays so for its whole life: an older
+// reading can't make it usable again.
+package registry
+
+import (
+	"time"
+
+	"github.com/cassiasill/cassiasill/internal/boottime"
+)
+
+// ReturnGrace is how long entries may be missing after an outage of the store
+// before their servers count as gone; living servers are back within 2 s.
+const ReturnGrace = 2200 * time.Millisecond
+
+// OutageAfter is how long reads must have failed before missing entries get
+// ReturnGrace. Shorter gaps do not outlast three heartbeats.
+const OutageAfter = 1500 * time.Millisecond
+
+// Server is one life of a server.
+type Server struct {
+	ID               string
+	Service          string
+	Address          string
+	AvailabilityZone string
+	// Slots is how many requests it runs at the same time.
+	Slots int
+	// Draining is true once the server has announced that it leaves.
+	Draining bool
+	// Born is the Unix millisecond of its start, which tells lives apart.
+	Born int64
+	// Warmup is how long the server stays slow after its start.
+	Warmup time.Duration
+	// Speed is its measured speed relative to its service's mean; 0 if unknown.
+	Speed float64
+	// Seq counts its heartbeats; it is zero in a List.
+	Seq int64
+}
+
+// List is an immutable list of servers.
+type List struct {
+	Version uint64
+	Servers map[string]Server
+}
+
+// Beat is the last heartbeat that was new in a reading.
+type Beat struct {
+	Seq int64
+	// ReadAt is when the reading began that showed it first.
+	ReadAt boottime.Instant
+}
+
+// Tracker turns readings of all entries into lists.
+type Tracker struct {
+	servers  map[string]Server
+	beats    map[string]Beat
+	failing  boottime.Instant // since when readings fail; 0 if they do not
+	graceEnd boottime.Instant
+	version  uint64
+}
+
+// NewTracker returns a Tracker that knows no server.
+func NewTracker() *Tracker {
+	return &Tracker{servers: make(map[string]Server), beats: make(map[string]Beat)}
+}
+
+// Observe takes a complete reading that began at the given instant and reports
+// whether the list changed.
+func (t *Tracker) Observe(servers []Server, began boottime.Instant) bool {
+	if t.failing != 0 && began.Sub(t.failing) > OutageAfter {
+		t.graceEnd = began.Add(ReturnGrace)
+	}
+	t.failing = 0
+	changed := false
+	seen := make(map[string]bool, len(servers))
+	for _, s := range servers {
+		seen[s.ID] = true
+		if t.beats[s.ID].Seq != s.Seq || t.servers[s.ID].Born != s.Born {
+			t.beats[s.ID] = Beat{Seq: s.Seq, ReadAt: began}
+		}
+		s.Seq = 0
+		old, known := t.servers[s.ID]
+		if known && old.Born == s.Born {
+			s.Draining = s.Draining || old.Draining
+			s.Speed = old.Speed
+		}
+		// The remaining warmup counts down with each heartbeat; only its start
+		// is news.
+		if known && old.Born == s.Born && s.Warmup > 0 && old.Warmup > 0 {
+			s.Warmup = old.Warmup
+		}
+		if !known || old != s {
+			t.servers[s.ID] = s
+			changed = true
+		}
+	}
+	for id := range t.servers {
+		if !seen[id] && !began.Before(t.graceEnd) {
+			delete(t.servers, id)
+			delete(t.beats, id)
+			changed = true
+		}
+	}
+	if changed {
+		t.version++
+	}
+	return changed
+}
+
+// SetSpeed notes the measured speed of a server and reports whether the list
+// changed by it. Small differences are not news.
+func (t *Tracker) SetSpeed(id string, speed float64) bool {
+	s, ok := t.servers[id]
+	if !ok || (s.Speed > 0 && speed > s.Speed*0.85 && speed < s.Speed*1.18) {
+		return false
+	}
+	s.Speed = speed
+	t.servers[id] = s
+	t.version++
+	return true
+}
+
+// Beat returns the last new heartbeat of a server.
+func (t *Tracker) Beat(id string) Beat { return t.beats[id] }
+
+// List returns the current list.
+func (t *Tracker) List() *List {
+	out := &List{Version: t.version, Servers: make(map[string]Server, len(t.servers))}
+	for id, s := range t.servers {
+		out.Servers[id] = s
+	}
+	return out
+}
+
+// Failed notes that a reading that began at the given instant failed.
+func (t *Tracker) Failed(began boottime.Instant) {
+	if t.failing == 0 {
+		t.failing = began
+	}
+}
+
+// Seed takes over what another reader has learned, speeds above all. Readings
+// of the Tracker's own replace it.
+func (t *Tracker) Seed(list *List) {
+	for id, s := range list.Servers {
+		t.servers[id] = s
+	}
+}
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -57,12 +57,21 @@
 
 // Parse reads and checks a settings file; file is its name in errors.
 func Parse(file string, data []byte) (*Settings, error) {
-	d := &decoder{file: file, positions: map[string]*token.Position{"": {Line: 1, Column: 1}}}
 	settings := Default()
+	if err := parse(file, data, settings, func(d *decoder) { d.validate(settings) }); err != nil {
+		return nil, err
+	}
+	settings.complete()
+	return settings, nil
+}
+
+// parse decodes data into target, which holds the defaults, and validates it.
+func parse(file string, data []byte, target any, validate func(*decoder)) error {
+	d := &decoder{file: file, positions: map[string]*token.Position{"": {Line: 1, Column: 1}}}
 	tree, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		d.syntax(err)
-		return nil, d.errors
+		return d.errors
 	}
 	switch {
 	case len(tree.Docs) == 0 || tree.Docs[0].Body == nil:
@@ -70,15 +79,14 @@
 	case len(tree.Docs) > 1:
 		d.fail("", "found %d YAML documents, expected one", len(tree.Docs))
 	default:
-		d.decode(tree.Docs[0].Body, reflect.ValueOf(settings).Elem(), "")
-		d.validate(settings)
+		d.decode(tree.Docs[0].Body, reflect.ValueOf(target).Elem(), "")
+		validate(d)
 	}
 	if len(d.errors) > 0 {
 		slices.SortStableFunc(d.errors, func(a, b *Error) int { return (a.Line-b.Line)*1000 + a.Column - b.Column })
-		return nil, d.errors
+		return d.errors
 	}
-	settings.complete()
-	return settings, nil
+	return nil
 }
 
 func (d *decoder) syntax(err error) {
--- /dev/null
+++ b/internal/settings/platform.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+)
+
+// Platform is the settings file of a host that runs on the users' platform,
+// where routes, servers and what must last are in the store.
+type Platform struct {
+	// Host describes this host.
+	Host PlatformHost `yaml:"host"`
+	// Listen holds the addresses that the host serves.
+	Listen PlatformListen `yaml:"listen"`
+	// Store is the address of the platform's key-value store. Required.
+	Store PlatformStore `yaml:"store"`
+	// Limits bound the process.
+	Limits PlatformLimits `yaml:"limits"`
+	// Bounds are the figures agreed with the platform, as it writes them.
+	Bounds string `yaml:"bounds"`
+	// Log sets what is logged.
+	Log Log `yaml:"log"`
+}
+
+// PlatformHost is this host.
+type PlatformHost struct {
+	// Name is the same after a restart. Required.
+	Name string `yaml:"name"`
+	// AvailabilityZone is where the host stands. Required.
+	AvailabilityZone string `yaml:"availabilityZone"`
+	// Address is the host's IP address. Required.
+	Address string `yaml:"address"`
+}
+
+// PlatformListen holds IP addresses with ports.
+type PlatformListen struct {
+	// Callers serves callers. Required.
+	Callers string `yaml:"callers"`
+	// Readiness answers the balancer. Required.
+	Readiness string `yaml:"readiness"`
+	// FirstPeerPort is the first of the ports between hosts; the second serves
+	// metrics. Required.
+	FirstPeerPort int `yaml:"firstPeerPort"`
+}
+
+// PlatformStore says how the store is reached.
+type PlatformStore struct {
+	// Address is an IP address with a port. Required.
+	Address string `yaml:"address"`
+	// Timeout bounds one call. Default: 1s.
+	Timeout Duration `yaml:"timeout"`
+}
+
+// PlatformLimits bound the process.
+type PlatformLimits struct {
+	// MemoryMB is what the process may use, in MB. Default: 256.
+	MemoryMB int `yaml:"memoryMB"`
+}
+
+// LoadPlatform reads and checks the file at path. It fails with Errors that
+// list everything that is wrong with the file.
+func LoadPlatform(path string) (*Platform, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return ParsePlatform(path, data)
+}
+
+// ParsePlatform is LoadPlatform for data; file is its name in errors.
+func ParsePlatform(file string, data []byte) (*Platform, error) {
+	p := &Platform{
+		Store:  PlatformStore{Timeout: Duration(time.Second)},
+		Limits: PlatformLimits{MemoryMB: 256},
+		Log:    Log{Level: "info", Format: "json"},
+	}
+	if err := parse(file, data, p, p.validate); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Platform) validate(d *decoder) {
+	required(d, "host.name", p.Host.Name)
+	required(d, "host.availabilityZone", p.Host.AvailabilityZone)
+	if _, err := netip.ParseAddr(p.Host.Address); err != nil {
+		d.fail("host.address", "found %q, expected an IP address", p.Host.Address)
+	}
+	for path, address := range map[string]string{"listen.callers": p.Listen.Callers, "listen.readiness": p.Listen.Readiness, "store.address": p.Store.Address} {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			d.fail(path, "found %q, expected an IP address with a port", address)
+		}
+	}
+	between(d, "listen.firstPeerPort", p.Listen.FirstPeerPort, 1, 65534)
+	between(d, "store.timeout", p.Store.Timeout, Duration(time.Millisecond), Duration(time.Minute))
+	between(d, "limits.memoryMB", p.Limits.MemoryMB, 16, 1<<20)
+}
