--- a/cmd/cassiasill/main.go
+++ b/cmd/cassiasill/main.go
@@ -10,13 +10,11 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
-	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill"
 	"github.com/cassiasill/cassiasill/internal/dev"
 	"github.com/cassiasill/cassiasill/internal/settings"
 	"github.com/cassiasill/cassiasill/internal/telemetry"
-	"github.com/cassiasill/cassiasill/platform"
 )
 
 // Exit codes.
@@ -82,31 +80,6 @@
 	return router.Run(ctx)
 }
 
-type servePlatformCommand struct {
-	Settings string `long:"settings" env:"CASSIASILL_BOOT" required:"yes" value-name:"FILE" description:"Settings file"`
-}
-
-// Execute runs the host until a signal.
-func (c *servePlatformCommand) Execute([]string) error {
-	s, err := settings.LoadPlatform(c.Settings)
-	if err != nil {
-		return err
-	}
-	log, err := telemetry.NewLogger(os.Stdout, string(s.Log.Level), telemetry.Format(s.Log.Format))
-	if err != nil {
-		return err
-	}
-	host, err := platform.NewHost(s, log)
-	if err != nil {
-		return err
-	}
-	ctx, stop := signalContext()
-	defer stop()
-	log.Info("main: starting", zap.String("settings", c.Settings), zap.String("host", s.Host.Name), zap.String("store", s.Store.Address))
-	defer log.Info("main: stopped")
-	return host.Run(ctx)
-}
-
 type devCommand struct {
 	Settings   string        `long:"settings" value-name:"FILE" description:"Settings of the deployment"`
 	Deployment string        `long:"deployment" choice:"aserrin" choice:"adinkra" default:"aserrin" description:"Example deployment, without --settings"`
--- a/internal/entry/budget.go
+++ b/internal/entry/budget.go
@@ -9,11 +9,10 @@
 // service: a share of the requests, and this host's part of a burst that all
 // hosts may use together.
 type Budget struct {
-	share  float64
-	burst  float64 // of all hosts
-	window time.Duration
-
 	mu       sync.Mutex
+	share    float64
+	burst    float64 // of all hosts
+	window   time.Duration
 	hosts    int
 	services map[string]*tokens
 }
@@ -35,8 +34,16 @@
 
 // NewBudget returns a Budget of share of the requests and burst in each window.
 func NewBudget(share, burst float64, window time.Duration) *Budget {
-	return &Budget{share: share * budgetShareUsed, burst: burst * budgetBurstUsed, window: window,
-		hosts: assumedHosts, services: make(map[string]*tokens)}
+	b := &Budget{hosts: assumedHosts, services: make(map[string]*tokens)}
+	b.SetBounds(share, burst, window)
+	return b
+}
+
+// SetBounds changes the agreed budget.
+func (b *Budget) SetBounds(share, burst float64, window time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share, b.burst, b.window = share*budgetShareUsed, burst*budgetBurstUsed, window
 }
 
 // SetHosts tells how many hosts share the burst.
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -56,7 +56,10 @@
 }
 
 // Host is one entry host.
-type Host struct{ kernel *kernel.Kernel }
+type Host struct {
+	kernel *kernel.Kernel
+	budget *entry.Budget
+}
 
 // New assembles a host; Run starts it.
 func New(options Options) (*Host, error) {
@@ -74,15 +77,21 @@
 		return nil, err
 	}
 	d := &dispatchService{dispatcher: dispatch.NewDispatcher()}
-	e := &entryService{options: options, metrics: instruments}
+	budget := entry.NewBudget(options.RetryShare, options.RetryBurst, options.RetryWindow)
+	e := &entryService{options: options, metrics: instruments, budget: budget}
 	a := &adminService{options: options, metrics: metrics}
 	stop := max(options.Grace-stopMargin, time.Second)
-	return &Host{kernel: kernel.New(options.Log, stop, c, d, a, e)}, nil
+	return &Host{kernel: kernel.New(options.Log, stop, c, d, a, e), budget: budget}, nil
 }
 
 // Run serves until ctx ends, then finishes the requests in flight.
 func (h *Host) Run(ctx context.Context) error { return h.kernel.Run(ctx, nil) }
 
+// SetRetryBudget changes the bounds of the repeats of all hosts.
+func (h *Host) SetRetryBudget(share, burst float64, window time.Duration) {
+	h.budget.SetBounds(share, burst, window)
+}
+
 // peerClient returns a client for calls between hosts and to the store.
 func peerClient(dial exchange.DialFunc) *http.Client {
 	return &http.Client{Transport: &http.Transport{
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -80,6 +80,7 @@
 type entryService struct {
 	options  Options
 	metrics  *entry.Metrics
+	budget   *entry.Budget
 	node     *control.Node
 	server   *entry.Server
 	stopping atomic.Bool
@@ -103,14 +104,13 @@
 	}
 	s.node = controls.Node()
 	servers := entry.NewServers(&s.options.Headers, s.options.Dial, dispatchers.Dispatcher(), s.metrics.ConnectionOpened)
-	budget := entry.NewBudget(s.options.RetryShare, s.options.RetryBurst, s.options.RetryWindow)
 	s.node.View().OnChange(func(snapshot *control.Snapshot) {
-		budget.SetHosts(snapshot.Hosts)
+		s.budget.SetHosts(snapshot.Hosts)
 		servers.Update(snapshot)
 	})
 	handler := entry.NewHandler(entry.Options{AvailabilityZone: s.options.AvailabilityZone, Headers: s.options.Headers,
 		View: s.node.View(), Reports: s.node.Reports, Dispatcher: dispatchers.Dispatcher(), Servers: servers,
-		Budget: budget, Metrics: s.metrics, Log: s.options.Log})
+		Budget: s.budget, Metrics: s.metrics, Log: s.options.Log})
 	s.server = entry.NewServer(handler)
 	listener, err := listen(ctx, s.options.CallersAddress)
 	if err != nil {
