Elect a new leader when only the leader lost the store

Hosts kept syncing with it, so no range moved, and when it read again it took its own gap for an outage and kept a server for 2 s that had left meanwhile (rule DRAIN). Ruled out: a late relay; the hosts' own readings were right until the leader's list replaced them. Change: a host that reads the store itself because the leader's list is old also looks for the leader's key; hosts report when they last reached the store, and the leader gives no return grace if one did. Failed commits pause.

--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -46,12 +46,14 @@
 	confirmed boottime.Instant
 	former    []leaderRecord // may still be renewing grants
 	hosts     map[string]boottime.Instant
-	versions  fleetpb.Known
-	seen      *Snapshot // that versions describe
-	loads     map[string]*loadMeter
-	speeds    *speedMeter
-	crashes   *crashTable
-	addresses map[string]string // last known, also of servers that are gone
+	// storeReached is when a host last reached the store, as the hosts tell.
+	storeReached boottime.Instant
+	versions     fleetpb.Known
+	seen         *Snapshot // that versions describe
+	loads        map[string]*loadMeter
+	speeds       *speedMeter
+	crashes      *crashTable
+	addresses    map[string]string // last known, also of servers that are gone
 
 	managers map[string]*manager // belongs to tick
 	group    conc.WaitGroup
@@ -304,6 +306,7 @@
 		}
 		hosts++
 	}
+	n.tracker.Reached(l.storeReached)
 	l.mu.Unlock()
 	n.view.setHosts(hosts)
 	n.readServers(ctx, n.tracker)
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -26,6 +26,8 @@
 	suspectAfter = 900 * time.Millisecond
 	// failurePause follows a failed grant.
 	failurePause = 250 * time.Millisecond
+	// storePause follows a call to the store that failed.
+	storePause = 300 * time.Millisecond
 	// bootstrapWait lets servers register before the first assignment.
 	bootstrapWait = 700 * time.Millisecond
 	// newServerSpeed is assumed of a server that was not measured yet.
@@ -43,6 +45,7 @@
 	// The fields below belong to the goroutine that calls step.
 	planAt   boottime.Instant
 	waitedTo boottime.Instant
+	storeTo  boottime.Instant // no calls to the store before
 
 	mu      sync.Mutex
 	a       *shards.Assignment // as committed
@@ -92,16 +95,20 @@
 func (m *manager) step(ctx context.Context) {
 	now := m.l.node.Clock()
 	servers := m.servers()
-	if m.a == nil || m.doubted {
-		if !m.load(ctx, servers, now) {
-			return
-		}
+	known := m.a != nil && !m.isDoubted()
+	if !known && now >= m.storeTo {
+		known = m.load(ctx, servers, now)
+	}
+	if m.a == nil {
+		return
 	}
-	m.publish(now)
-	if next := m.next(servers, now); next != nil {
+	m.publish()
+	if next := m.nextIf(known, servers, now); next != nil {
 		m.commit(ctx, next)
 	}
-	m.startTakes(ctx, now)
+	m.startTakes(ctx)
+	// A change that may have been committed is acted upon by nobody, so what
+	// stood before it may still be renewed.
 	m.renew(ctx, servers, now)
 }
 
@@ -146,7 +153,8 @@
 	kv, found, _, err := n.Store.Get(ctx, m.key())
 	n.noteStore(err)
 	if err != nil {
-		return m.a != nil // an unconfirmed one may be renewed still
+		m.storeTo = now.Add(storePause)
+		return false
 	}
 	if found {
 		a, err := shards.Decode(kv.Value, kv.ModRevision)
@@ -170,6 +178,12 @@
 	return m.a != nil
 }
 
+func (m *manager) isDoubted() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.doubted
+}
+
 func (m *manager) adopt(a *shards.Assignment) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -181,6 +195,7 @@
 // still stands.
 func (m *manager) commit(ctx context.Context, next *shards.Assignment) {
 	n := m.l.node
+	now := n.Clock()
 	value, err := next.Encode()
 	if err != nil {
 		m.log().Error("shards: assignment can't be encoded", zap.Error(err))
@@ -197,6 +212,7 @@
 		m.mu.Lock()
 		m.doubted = true
 		m.mu.Unlock()
+		m.storeTo = now.Add(storePause)
 		return
 	}
 	m.mu.Lock()
@@ -208,7 +224,7 @@
 
 // publish shows the committed assignment to hosts once the new owners have
 // acknowledged their grants: earlier, they would refuse the requests.
-func (m *manager) publish(now boottime.Instant) {
+func (m *manager) publish() {
 	m.mu.Lock()
 	a := m.a
 	ready := true
@@ -223,6 +239,14 @@
 	}
 }
 
+// nextIf returns next, or nil while the committed assignment is not known.
+func (m *manager) nextIf(known bool, servers map[string]registry.Server, now boottime.Instant) *shards.Assignment {
+	if !known {
+		return nil
+	}
+	return m.next(servers, now)
+}
+
 // next returns the assignment that should be committed now, nil if the current
 // one can stay.
 func (m *manager) next(servers map[string]registry.Server, now boottime.Instant) *shards.Assignment {
@@ -356,7 +380,7 @@
 // startTakes starts the taking of released ranges. Until when a range may still
 // be held follows from the last grant that can have been sent, by this leader
 // or a former one.
-func (m *manager) startTakes(ctx context.Context, now boottime.Instant) {
+func (m *manager) startTakes(ctx context.Context) {
 	for _, r := range m.a.Ranges {
 		if r.Released == 0 {
 			continue
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -69,6 +69,7 @@
 	readAt      boottime.Instant
 	tracker     *registry.Tracker
 	storeUp     bool
+	storeAt     boottime.Instant // of the last call that succeeded
 	retired     bool
 }
 
@@ -141,8 +142,10 @@
 	n.mu.Unlock()
 	if leader.Address != "" && leader.Term != unreachable {
 		if n.syncWith(ctx, leader) {
-			if n.Clock().Sub(n.view.Load().ServersAt) > staleAfter {
-				n.readEntries(ctx)
+			// A leader that does not reach the store can't lead: if its key is
+			// gone, this host stands for election.
+			if n.Clock().Sub(n.view.Load().ServersAt) > staleAfter && n.readEntries(ctx) {
+				n.findLeader(ctx)
 			}
 			return
 		}
@@ -167,6 +170,10 @@
 	request := &fleetpb.SyncRequest{Host: n.Host, WaitMillis: syncWait.Milliseconds()}
 	n.mu.Lock()
 	request.Known = n.known
+	request.StoreAgeMillis = -1
+	if n.storeAt != 0 {
+		request.StoreAgeMillis = n.Clock().Sub(n.storeAt).Milliseconds()
+	}
 	n.mu.Unlock()
 	if request.Known == nil || request.Known.Term != leader.Term {
 		request.Known = &fleetpb.Known{Term: leader.Term}
@@ -294,8 +301,9 @@
 	n.view.setShards(strings.TrimPrefix(kv.Key, shardsPrefix), a)
 }
 
-// readEntries reads the configuration and the servers from the store.
-func (n *Node) readEntries(ctx context.Context) {
+// readEntries reads the configuration and the servers from the store, if it is
+// not too early. It returns true if the store answered.
+func (n *Node) readEntries(ctx context.Context) bool {
 	now := n.Clock()
 	n.mu.Lock()
 	early := n.readAt != 0 && now.Sub(n.readAt) < readInterval
@@ -304,10 +312,10 @@
 	}
 	n.mu.Unlock()
 	if early {
-		return
+		return false
 	}
 	n.readConfig(ctx)
-	n.readServers(ctx, n.tracker)
+	return n.readServers(ctx, n.tracker)
 }
 
 // readConfig reads the configuration; it returns the store's revision, 0 after
@@ -370,6 +378,9 @@
 	n.mu.Lock()
 	changed := n.storeUp != (err == nil)
 	n.storeUp = err == nil
+	if err == nil {
+		n.storeAt = n.Clock()
+	}
 	n.mu.Unlock()
 	switch {
 	case !changed:
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -52,6 +52,9 @@
 	defer l.mu.Unlock()
 	if m.Host != "" && m.Host != l.node.Host {
 		l.hosts[m.Host] = now
+		if m.StoreAgeMillis >= 0 {
+			l.storeReached = max(l.storeReached, now.Add(-time.Duration(m.StoreAgeMillis)*time.Millisecond))
+		}
 	}
 	for _, load := range m.Loads {
 		meter := l.loads[load.Service]
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -140,6 +140,15 @@
 	}
 }
 
+// Reached notes that another host reached the store at the given instant: then
+// the failures of this reader's calls were not an outage of the store, in which
+// entries lapse, and what is missing has left.
+func (t *Tracker) Reached(at boottime.Instant) {
+	if t.failing != 0 && at > t.failing {
+		t.failing = at
+	}
+}
+
 // Seed takes over what another reader has learned, speeds above all. Readings
 // of the Tracker's own replace it.
 func (t *Tracker) Seed(list *List) {
