Place the requests of a service at one dispatcher

Cause: each host saw a twelfth of the requests and chose by its own counts, so servers that were fast for all were chosen by all; requests waited behind others while slots were free elsewhere. What remains is mostly lookups by key.

--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,6 +10,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -27,6 +29,9 @@
 	configWait = 900 * time.Millisecond
 	// hostWindow is how long a host counts as sharing the work after a sync.
 	hostWindow = 3 * time.Second
+	// dispatcherWindow is how long after its last sync a host may still place
+	// requests for others; a host without news syncs each syncWait.
+	dispatcherWindow = 1200 * time.Millisecond
 	// tickInterval is the pace of the assignments' work.
 	tickInterval = 50 * time.Millisecond
 	// formerInterval is the pace of asking former leaders whether they stopped.
@@ -45,7 +50,7 @@
 	reason    string // why it was lost
 	confirmed boottime.Instant
 	former    []leaderRecord // may still be renewing grants
-	hosts     map[string]boottime.Instant
+	hosts     map[string]peerHost
 	// storeReached is when a host last reached the store, as the hosts tell.
 	storeReached boottime.Instant
 	versions     fleetpb.Known
@@ -60,6 +65,12 @@
 	woken    chan struct{}
 }
 
+// peerHost is what the leader knows of another host.
+type peerHost struct {
+	seen     boottime.Instant
+	dispatch string
+}
+
 // stand tries to become leader: it replaces the leader's key, which must be at
 // the given revision, 0 if there is none. In the same transaction it notes
 // itself among the leaders that may still be renewing, for the next leader.
@@ -98,7 +109,7 @@
 		return
 	}
 	l := &leadership{node: n, term: result.Revision, lease: lease, began: began, confirmed: began, lost: make(chan struct{}),
-		former: former, hosts: make(map[string]boottime.Instant), loads: make(map[string]*loadMeter),
+		former: former, hosts: make(map[string]peerHost), loads: make(map[string]*loadMeter),
 		speeds: newSpeedMeter(), crashes: newCrashTable(), managers: make(map[string]*manager), addresses: make(map[string]string), woken: make(chan struct{}, 1)}
 	n.mu.Lock()
 	n.leader = leaderRecord{Host: n.Host, Address: n.Address, Term: l.term}
@@ -299,22 +310,45 @@
 		}
 	}
 	hosts := 1
-	for host, at := range l.hosts {
-		if now.Sub(at) > hostWindow {
+	for host, peer := range l.hosts {
+		if now.Sub(peer.seen) > hostWindow {
 			delete(l.hosts, host)
 			continue
 		}
 		hosts++
 	}
+	dispatchers := l.chooseDispatchers(now)
 	n.tracker.Reached(l.storeReached)
 	l.mu.Unlock()
-	n.view.setHosts(hosts)
+	n.view.setHosts(hosts, dispatchers)
 	n.readServers(ctx, n.tracker)
 	if changed {
 		n.view.setServers(n.tracker.List(), n.view.Load().ServersAt)
 	}
 }
 
+// chooseDispatchers names a live host for each service by rendezvous hashing, so
+// that the loss of a host moves only what it had.
+func (l *leadership) chooseDispatchers(now boottime.Instant) map[string]string {
+	config := l.node.config()
+	if config == nil {
+		return nil
+	}
+	addresses := []string{l.node.DispatchAddress}
+	for _, peer := range l.hosts {
+		if peer.dispatch != "" && now.Sub(peer.seen) < dispatcherWindow {
+			addresses = append(addresses, peer.dispatch)
+		}
+	}
+	out := make(map[string]string, len(config.Services))
+	for name := range config.Services {
+		out[name] = slices.MaxFunc(addresses, func(a, b string) int {
+			return cmp.Compare(xxhash.Sum64String(name+a), xxhash.Sum64String(name+b))
+		})
+	}
+	return out
+}
+
 // followConfig waits for changes of the configuration. After any doubt it reads
 // the configuration itself.
 func (l *leadership) followConfig(ctx context.Context) {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -45,13 +45,15 @@
 type Options struct {
 	Host    string
 	Address string // of the FleetService
-	Store   Store
-	Schema  Schema
-	Orders  Orders
-	Reports *Reports
-	Peers   *http.Client
-	Clock   boottime.Clock
-	Log     *zap.Logger
+	// DispatchAddress is where this host places requests for others.
+	DispatchAddress string
+	Store           Store
+	Schema          Schema
+	Orders          Orders
+	Reports         *Reports
+	Peers           *http.Client
+	Clock           boottime.Clock
+	Log             *zap.Logger
 }
 
 // Node is one host's part in the control of the deployment.
@@ -167,7 +169,7 @@
 func (n *Node) syncWith(ctx context.Context, leader leaderRecord) bool {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	request := &fleetpb.SyncRequest{Host: n.Host, WaitMillis: syncWait.Milliseconds()}
+	request := &fleetpb.SyncRequest{Host: n.Host, DispatchAddress: n.DispatchAddress, WaitMillis: syncWait.Milliseconds()}
 	n.mu.Lock()
 	request.Known = n.known
 	request.StoreAgeMillis = -1
@@ -229,7 +231,7 @@
 		}
 		n.view.setBlocked(blocked)
 	}
-	n.view.setHosts(int(m.Hosts))
+	n.view.setHosts(int(m.Hosts), m.Dispatchers)
 }
 
 // findLeader reads the hosts' own keys. If there is no leader, it tries to
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"connectrpc.com/connect"
@@ -51,7 +52,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if m.Host != "" && m.Host != l.node.Host {
-		l.hosts[m.Host] = now
+		l.hosts[m.Host] = peerHost{seen: now, dispatch: m.DispatchAddress}
 		if m.StoreAgeMillis >= 0 {
 			l.storeReached = max(l.storeReached, now.Add(-time.Duration(m.StoreAgeMillis)*time.Millisecond))
 		}
@@ -80,9 +81,12 @@
 	if known.Term != l.term {
 		known = &fleetpb.Known{}
 	}
-	out := &fleetpb.SyncResponse{Leader: true, Term: l.term, Known: versions, Hosts: uint32(snapshot.Hosts),
+	out := &fleetpb.SyncResponse{Leader: true, Term: l.term, Known: versions, Hosts: uint32(snapshot.Hosts), Dispatchers: snapshot.Dispatchers,
 		ConfigAgeMillis: now.Sub(snapshot.ConfigAt).Milliseconds(), ServersAgeMillis: now.Sub(snapshot.ServersAt).Milliseconds()}
 	news := false
+	if versions.Placement != known.Placement {
+		news = true
+	}
 	if versions.Config != known.Config {
 		out.Config, news = snapshot.ConfigRaw, true
 	}
@@ -118,7 +122,7 @@
 	old := l.seen
 	if old == nil {
 		old = &Snapshot{}
-		l.versions = fleetpb.Known{Term: l.term, Servers: 1, Shards: 1, Blocked: 1}
+		l.versions = fleetpb.Known{Term: l.term, Servers: 1, Shards: 1, Blocked: 1, Placement: 1}
 	}
 	// A snapshot that was loaded before one already described is older.
 	if s.Generation >= old.Generation {
@@ -131,13 +135,16 @@
 		if !sameShards(s, old) {
 			l.versions.Shards++
 		}
+		if s.Hosts != old.Hosts || !maps.Equal(s.Dispatchers, old.Dispatchers) {
+			l.versions.Placement++
+		}
 		if len(s.Blocked) != len(old.Blocked) {
 			l.versions.Blocked++
 		}
 		l.seen = s
 	}
 	v := &l.versions
-	return l.seen, &fleetpb.Known{Term: v.Term, Config: v.Config, Servers: v.Servers, Shards: v.Shards, Blocked: v.Blocked}
+	return l.seen, &fleetpb.Known{Term: v.Term, Config: v.Config, Servers: v.Servers, Shards: v.Shards, Blocked: v.Blocked, Placement: v.Placement}
 }
 
 func sameShards(a, b *Snapshot) bool {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -20,6 +20,8 @@
 	Shards    map[string]*shards.Assignment
 	// Blocked holds the fingerprints of requests that crash servers.
 	Blocked map[string]bool
+	// Dispatchers names the host that places the requests of each service.
+	Dispatchers map[string]string
 	// Hosts is the number of hosts that share the work; 0 if unknown.
 	Hosts int
 	// ConfigAt and ServersAt are when the store last confirmed them.
@@ -164,13 +166,13 @@
 	})
 }
 
-// setHosts notes how many hosts share the work.
-func (v *View) setHosts(hosts int) {
+// setHosts notes how many hosts share the work, and who places requests.
+func (v *View) setHosts(hosts int, dispatchers map[string]string) {
 	v.update(func(next *Snapshot) bool {
-		if next.Hosts == hosts {
+		if next.Hosts == hosts && maps.Equal(next.Dispatchers, dispatchers) {
 			return false
 		}
-		next.Hosts = hosts
+		next.Hosts, next.Dispatchers = hosts, dispatchers
 		return true
 	})
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -112,6 +112,8 @@
 	speedWeight = 0.08
 	// failureWeight is the weight of one result in a server's failure rate.
 	failureWeight = 0.2
+	// minOwnSamples is how many samples make a Core believe its own.
+	minOwnSamples = 8
 	// minSpeed and maxSpeed bound what samples can say.
 	minSpeed, maxSpeed = 0.08, 4.0
 	// unreachableFirst and unreachableMost bound how long a server is left
@@ -203,7 +205,9 @@
 		if s == nil {
 			s = &server{speed: 1, warmTo: now.Add(d.Warmup)}
 		}
-		if d.Speed > 0 {
+		// What is told of a server's speed is older than what this Core has
+		// measured itself.
+		if d.Speed > 0 && d.Speed != s.Speed && (c.share < 1 || s.samples < minOwnSamples) {
 			s.speed = d.Speed
 		}
 		s.Server = d
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,17 +14,17 @@
 // Dispatcher runs the Cores of all services of one process.
 type Dispatcher struct {
 	start time.Time
+	last  atomic.Uint64
 
 	mu      sync.Mutex
 	cores   map[string]*Core
-	waiting map[uint64]chan Decision
-	next    uint64
+	waiting map[uint64]func(Decision)
 	pending chan struct{} // wakes Run when requests wait
 }
 
 // NewDispatcher returns a Dispatcher without services.
 func NewDispatcher() *Dispatcher {
-	return &Dispatcher{start: time.Now(), cores: make(map[string]*Core), waiting: make(map[uint64]chan Decision), pending: make(chan struct{}, 1)}
+	return &Dispatcher{start: time.Now(), cores: make(map[string]*Core), waiting: make(map[uint64]func(Decision)), pending: make(chan struct{}, 1)}
 }
 
 // Now returns the Dispatcher's time.
@@ -49,41 +50,58 @@
 // Acquire waits for a server for the request. After a decision that names a
 // server, Release must be called with the returned number.
 func (d *Dispatcher) Acquire(ctx context.Context, ask Ask) (Decision, uint64) {
-	d.mu.Lock()
-	core := d.cores[ask.Service]
-	if core == nil {
-		d.mu.Unlock()
-		return Decision{Reason: ReasonNoServer, RetryAfter: 4 * retryAfterMin}, 0
-	}
-	d.next++
-	ask.ID = d.next
 	result := make(chan Decision, 1)
-	d.waiting[ask.ID] = result
-	d.deliver(core.Ask(d.Now(), ask))
-	d.mu.Unlock()
+	number := d.Number()
+	d.Ask(number, ask, func(decision Decision) { result <- decision })
 	select {
 	case decision := <-result:
-		return decision, ask.ID
-	default:
+		return decision, number
+	case <-ctx.Done():
 	}
-	select {
-	case d.pending <- struct{}{}:
-	default:
+	if !d.Cancel(ask.Service, number) {
+		// The decision came at the same moment.
+		return <-result, number
 	}
-	select {
-	case decision := <-result:
-		return decision, ask.ID
-	case <-ctx.Done():
+	return Decision{Reason: ReasonOverload, RetryAfter: retryAfterMin}, 0
+}
+
+// Number returns a number for a request.
+func (d *Dispatcher) Number() uint64 { return d.last.Add(1) }
+
+// Ask takes a request under its number and calls decided once with the
+// decision, at once or later. The function must not block or call the
+// Dispatcher.
+func (d *Dispatcher) Ask(number uint64, ask Ask, decided func(Decision)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ask.ID = number
+	core := d.cores[ask.Service]
+	if core == nil {
+		decided(Decision{Reason: ReasonNoServer, RetryAfter: 4 * retryAfterMin})
+		return
+	}
+	d.waiting[ask.ID] = decided
+	d.deliver(core.Ask(d.Now(), ask))
+	if d.waiting[ask.ID] != nil {
+		select {
+		case d.pending <- struct{}{}:
+		default:
+		}
 	}
+}
+
+// Cancel forgets a request that waits. It returns false if it was decided.
+func (d *Dispatcher) Cancel(service string, number uint64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.waiting[ask.ID] == nil {
-		// The decision came at the same moment.
-		return <-result, ask.ID
+	if d.waiting[number] == nil {
+		return false
 	}
-	delete(d.waiting, ask.ID)
-	d.deliver(core.Cancel(d.Now(), ask.ID))
-	return Decision{Reason: ReasonOverload, RetryAfter: retryAfterMin}, 0
+	delete(d.waiting, number)
+	if core := d.cores[service]; core != nil {
+		d.deliver(core.Cancel(d.Now(), number))
+	}
+	return true
 }
 
 // Release tells how a request ended at its server.
@@ -97,9 +115,9 @@
 
 func (d *Dispatcher) deliver(decisions []Decision) {
 	for _, decision := range decisions {
-		if result := d.waiting[decision.ID]; result != nil {
+		if decided := d.waiting[decision.ID]; decided != nil {
 			delete(d.waiting, decision.ID)
-			result <- decision
+			decided(decision)
 		}
 	}
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -18,6 +18,7 @@
 	"github.com/cassiasill/cassiasill/internal/control"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/placing"
 	"github.com/cassiasill/cassiasill/internal/quarantine"
 	"github.com/cassiasill/cassiasill/internal/routes"
 )
@@ -41,7 +42,7 @@
 	Headers          exchange.Headers
 	View             *control.View
 	Reports          *control.Reports
-	Dispatcher       *dispatch.Dispatcher
+	Placer           *placing.Placer
 	Servers          *Servers
 	Budget           *Budget
 	Metrics          *Metrics
@@ -170,7 +171,7 @@
 	q.work = work
 	q.ask = dispatch.Ask{Service: q.service, Position: q.position, Priority: route.Priority, Repeatable: route.Kind.Repeatable(),
 		Zone: h.AvailabilityZone, AnswerBytes: size, Work: work, Salt: rand.Uint64(),
-		Target: h.Dispatcher.At(started.Add(route.Target)), Deadline: h.Dispatcher.At(q.deadline.Add(-answerMargin))}
+		Target: h.Placer.At(started.Add(route.Target)), Deadline: h.Placer.At(q.deadline.Add(-answerMargin))}
 	h.Budget.Request(q.service, started)
 	return q, nil
 }
@@ -184,14 +185,14 @@
 // serve sends the request until it has an answer or may be sent no more.
 func (h *Handler) serve(ctx context.Context, snapshot *control.Snapshot, q *request) (exchange.Result, *apierror.Error) {
 	for {
-		decision, number := h.Dispatcher.Acquire(ctx, q.ask)
+		decision, ticket := h.Placer.Acquire(ctx, q.ask)
 		if ctx.Err() != nil && decision.Server == "" {
 			return exchange.Result{}, apierror.New(apierror.KindCanceled, "the caller left while the request waited")
 		}
 		if decision.Server == "" {
 			return exchange.Result{}, h.notPlaced(q, decision)
 		}
-		result := h.try(ctx, q, decision, number)
+		result := h.try(ctx, q, decision, ticket)
 		v := judge(q.route.Kind, q.route.Attempts, q.tries, result)
 		if v.next == resend && !h.mayResend(q, v) {
 			v = h.final(q, result)
@@ -211,10 +212,10 @@
 }
 
 // try sends the request to one server.
-func (h *Handler) try(ctx context.Context, q *request, decision dispatch.Decision, number uint64) exchange.Result {
+func (h *Handler) try(ctx context.Context, q *request, decision dispatch.Decision, ticket placing.Ticket) exchange.Result {
 	pool, instance, ok := h.Servers.Pool(decision.Server)
 	if !ok {
-		h.Dispatcher.Release(q.service, number, dispatch.Result{Outcome: dispatch.Abandoned})
+		h.Placer.Release(ticket, dispatch.Result{Outcome: dispatch.Abandoned})
 		q.tries.unsent++
 		return exchange.Result{Outcome: exchange.NotSent, Err: errors.New("the server has left")}
 	}
@@ -223,7 +224,7 @@
 	result := pool.Do(ctx, &q.send)
 	took := time.Since(sentAt)
 	h.count(q, decision, result, took)
-	h.Dispatcher.Release(q.service, number, outcomeOf(result))
+	h.Placer.Release(ticket, outcomeOf(result))
 	h.Metrics.tried(result, took)
 	if result.Outcome != exchange.Answered || result.Status >= http.StatusInternalServerError {
 		h.Log.Info("entry: try ended without success", zap.String("request", q.id), zap.String("route", q.route.Name),
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -21,14 +21,20 @@
 	lostWait = 2500 * time.Millisecond
 )
 
+// centralExtra is how many requests a server may hold beyond its slots, so that
+// it has work while the end of a request is on its way to the dispatcher.
+const centralExtra = 1
+
 // Servers keeps the connections to the servers that requests may go to, and
 // tells the dispatcher about them.
 type Servers struct {
-	headers    *exchange.Headers
-	dial       exchange.DialFunc
-	dispatcher *dispatch.Dispatcher
-	opened     func()
-	background conc.WaitGroup
+	headers *exchange.Headers
+	dial    exchange.DialFunc
+	// local places this host's requests with its share of each server; central
+	// places all hosts' requests of the services that the leader gave it.
+	local, central *dispatch.Dispatcher
+	opened         func()
+	background     conc.WaitGroup
 
 	mu    sync.Mutex
 	pools map[string]*serverPool // by server ID
@@ -41,8 +47,8 @@
 }
 
 // NewServers returns Servers without any server.
-func NewServers(headers *exchange.Headers, dial exchange.DialFunc, dispatcher *dispatch.Dispatcher, opened func()) *Servers {
-	return &Servers{headers: headers, dial: dial, dispatcher: dispatcher, opened: opened, pools: make(map[string]*serverPool)}
+func NewServers(headers *exchange.Headers, dial exchange.DialFunc, local, central *dispatch.Dispatcher, opened func()) *Servers {
+	return &Servers{headers: headers, dial: dial, local: local, central: central, opened: opened, pools: make(map[string]*serverPool)}
 }
 
 // Pool returns the connections to a server and the instance it must be.
@@ -70,13 +76,14 @@
 		byService[server.Service] = append(byService[server.Service], dispatch.Server{ID: server.ID, Zone: server.AvailabilityZone,
 			Slots: server.Slots, Speed: server.Speed, Warmup: server.Warmup})
 	}
-	share, extra := 1/float64(max(snapshot.Hosts, 1)), 0
+	share := 1 / float64(max(snapshot.Hosts, 1))
 	for name, service := range snapshot.Config.Services {
 		var owner func(int) dispatch.OwnerState
 		if service.KeyOwned {
 			owner = ownerOf(snapshot, snapshot.Shards[name])
 		}
-		s.dispatcher.SetService(name, share, extra, owner, byService[name])
+		s.local.SetService(name, share, 0, owner, byService[name])
+		s.central.SetService(name, 1, centralExtra, owner, byService[name])
 	}
 }
 
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -12,7 +12,6 @@
 
 	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control"
-	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/entry"
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/kernel"
@@ -37,13 +36,15 @@
 	CallersAddress   string
 	ReadinessAddress string
 	// ReadinessPath is where the balancer asks.
-	ReadinessPath  string
-	PeerAddress    string
-	MetricsAddress string
-	Headers        exchange.Headers
-	Store          control.Store
-	Schema         control.Schema
-	Orders         control.Orders
+	ReadinessPath string
+	PeerAddress   string
+	// DispatchAddress is where this host places requests for others.
+	DispatchAddress string
+	MetricsAddress  string
+	Headers         exchange.Headers
+	Store           control.Store
+	Schema          control.Schema
+	Orders          control.Orders
 	// RetryShare, RetryBurst and RetryWindow bound the repeats of all hosts.
 	RetryShare  float64
 	RetryBurst  float64
@@ -76,7 +77,7 @@
 	if err := registerState(metrics.Meter("control"), c.node); err != nil {
 		return nil, err
 	}
-	d := &dispatchService{dispatcher: dispatch.NewDispatcher()}
+	d := newDispatchService(options)
 	budget := entry.NewBudget(options.RetryShare, options.RetryBurst, options.RetryWindow)
 	e := &entryService{options: options, metrics: instruments, budget: budget}
 	a := &adminService{options: options, metrics: metrics}
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -17,6 +17,7 @@
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/entry"
 	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/placing"
 	"github.com/cassiasill/cassiasill/internal/telemetry"
 )
 
@@ -29,7 +30,7 @@
 
 func newControlService(options Options) *controlService {
 	return &controlService{options: options, node: control.NewNode(control.Options{
-		Host: options.Name, Address: options.PeerAddress, Store: options.Store, Schema: options.Schema, Orders: options.Orders,
+		Host: options.Name, Address: options.PeerAddress, DispatchAddress: options.DispatchAddress, Store: options.Store, Schema: options.Schema, Orders: options.Orders,
 		Reports: control.NewReports(), Peers: peerClient(options.Dial), Clock: options.Clock, Log: options.Log,
 	})}
 }
@@ -60,21 +61,49 @@
 
 func (s *controlService) Stop(context.Context) error { return s.server.Close() }
 
-// dispatchService runs the decisions of waiting requests.
-type dispatchService struct{ dispatcher *dispatch.Dispatcher }
+// dispatchService places requests: this host's, and those of services that the
+// leader gave to this host.
+type dispatchService struct {
+	options        Options
+	local, central *dispatch.Dispatcher
+	placer         *placing.Placer
+}
+
+func newDispatchService(options Options) *dispatchService {
+	local, central := dispatch.NewDispatcher(), dispatch.NewDispatcher()
+	return &dispatchService{options: options, local: local, central: central,
+		placer: placing.NewPlacer(options.DispatchAddress, options.Dial, local, central)}
+}
 
 func (s *dispatchService) Name() string       { return nameDispatch }
 func (s *dispatchService) Requires() []string { return nil }
 
-// Dispatcher returns the dispatcher to the services that look it up.
-func (s *dispatchService) Dispatcher() *dispatch.Dispatcher { return s.dispatcher }
+// Placement returns the parts to the services that look them up.
+func (s *dispatchService) Placement() (placer *placing.Placer, local, central *dispatch.Dispatcher) {
+	return s.placer, s.local, s.central
+}
 
-func (s *dispatchService) Start(_ context.Context, registry *kernel.Registry) error {
-	registry.Go(nameDispatch, s.dispatcher.Run)
+func (s *dispatchService) Start(ctx context.Context, registry *kernel.Registry) error {
+	listener, err := listen(ctx, s.options.DispatchAddress)
+	if err != nil {
+		return err
+	}
+	registry.Go(nameDispatch+" local", s.local.Run)
+	registry.Go(nameDispatch+" central", s.central.Run)
+	server := placing.NewServer(s.central)
+	registry.Go(nameDispatch+" server", func(ctx context.Context) error { return server.Serve(ctx, listener) })
 	return nil
 }
 
-func (s *dispatchService) Stop(context.Context) error { return nil }
+func (s *dispatchService) Stop(context.Context) error {
+	s.placer.Close()
+	return nil
+}
+
+// placement is what the entry needs to place requests.
+type placement interface {
+	Placement() (placer *placing.Placer, local, central *dispatch.Dispatcher)
+}
 
 // entryService serves callers.
 type entryService struct {
@@ -94,22 +123,24 @@
 	if err != nil {
 		return err
 	}
-	dispatchers, err := kernel.Lookup[interface{ Dispatcher() *dispatch.Dispatcher }](registry, nameDispatch)
+	dispatchers, err := kernel.Lookup[placement](registry, nameDispatch)
 	if err != nil {
 		return err
 	}
+	placer, local, central := dispatchers.Placement()
 	admin, err := kernel.Lookup[interface{ SetReady(func() bool) }](registry, nameAdmin)
 	if err != nil {
 		return err
 	}
 	s.node = controls.Node()
-	servers := entry.NewServers(&s.options.Headers, s.options.Dial, dispatchers.Dispatcher(), s.metrics.ConnectionOpened)
+	servers := entry.NewServers(&s.options.Headers, s.options.Dial, local, central, s.metrics.ConnectionOpened)
 	s.node.View().OnChange(func(snapshot *control.Snapshot) {
 		s.budget.SetHosts(snapshot.Hosts)
 		servers.Update(snapshot)
+		placer.SetDispatchers(snapshot.Dispatchers)
 	})
 	handler := entry.NewHandler(entry.Options{AvailabilityZone: s.options.AvailabilityZone, Headers: s.options.Headers,
-		View: s.node.View(), Reports: s.node.Reports, Dispatcher: dispatchers.Dispatcher(), Servers: servers,
+		View: s.node.View(), Reports: s.node.Reports, Placer: placer, Servers: servers,
 		Budget: s.budget, Metrics: s.metrics, Log: s.options.Log})
 	s.server = entry.NewServer(handler)
 	listener, err := listen(ctx, s.options.CallersAddress)
