Learn the leader and the configuration from peers while the store is away

Ruled out: a slow election (a leader stood 0.5 s after the power came back). Change: a host that reaches neither leader nor store asks seeds and former peers for the leader and for what they know.

--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -68,6 +68,7 @@
 // peerHost is what the leader knows of another host.
 type peerHost struct {
 	seen     boottime.Instant
+	address  string
 	dispatch string
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -47,13 +47,16 @@
 	Address string // of the FleetService
 	// DispatchAddress is where this host places requests for others.
 	DispatchAddress string
-	Store           Store
-	Schema          Schema
-	Orders          Orders
-	Reports         *Reports
-	Peers           *http.Client
-	Clock           boottime.Clock
-	Log             *zap.Logger
+	// Seeds are addresses of other hosts, some of which may be gone. They are
+	// asked while neither the leader nor the store answers.
+	Seeds   []string
+	Store   Store
+	Schema  Schema
+	Orders  Orders
+	Reports *Reports
+	Peers   *http.Client
+	Clock   boottime.Clock
+	Log     *zap.Logger
 }
 
 // Node is one host's part in the control of the deployment.
@@ -73,6 +76,7 @@
 	storeUp     bool
 	storeAt     boottime.Instant // of the last call that succeeded
 	retired     bool
+	peers       []string // that the leader named
 }
 
 // leaderRecord is the value of the leader's key.
@@ -156,7 +160,7 @@
 		n.mu.Unlock()
 		n.Log.Info("control: leader does not answer", zap.String("leader", leader.Host), zap.Int64("term", leader.Term))
 	}
-	if !n.findLeader(ctx) {
+	if !n.findLeader(ctx) && !n.askPeers(ctx) {
 		n.pause(ctx, retryPause)
 	}
 	if n.Clock().Sub(n.view.Load().ServersAt) > readInterval {
@@ -169,7 +173,7 @@
 func (n *Node) syncWith(ctx context.Context, leader leaderRecord) bool {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	request := &fleetpb.SyncRequest{Host: n.Host, DispatchAddress: n.DispatchAddress, WaitMillis: syncWait.Milliseconds()}
+	request := &fleetpb.SyncRequest{Host: n.Host, Address: n.Address, DispatchAddress: n.DispatchAddress, WaitMillis: syncWait.Milliseconds()}
 	n.mu.Lock()
 	request.Known = n.known
 	request.StoreAgeMillis = -1
@@ -232,6 +236,11 @@
 		n.view.setBlocked(blocked)
 	}
 	n.view.setHosts(int(m.Hosts), m.Dispatchers)
+	if len(m.Peers) > 0 {
+		n.mu.Lock()
+		n.peers = m.Peers
+		n.mu.Unlock()
+	}
 }
 
 // findLeader reads the hosts' own keys. If there is no leader, it tries to
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
@@ -22,6 +21,9 @@
 	if l != nil && known.Term > l.term {
 		l.lose("another host leads a later term")
 	}
+	if r.Msg.Relay {
+		return connect.NewResponse(n.relay()), nil
+	}
 	if l == nil || l.isLost() {
 		return connect.NewResponse(&fleetpb.SyncResponse{}), nil
 	}
@@ -52,7 +54,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if m.Host != "" && m.Host != l.node.Host {
-		l.hosts[m.Host] = peerHost{seen: now, dispatch: m.DispatchAddress}
+		l.hosts[m.Host] = peerHost{seen: now, address: m.Address, dispatch: m.DispatchAddress}
 		if m.StoreAgeMillis >= 0 {
 			l.storeReached = max(l.storeReached, now.Add(-time.Duration(m.StoreAgeMillis)*time.Millisecond))
 		}
@@ -81,7 +83,7 @@
 	if known.Term != l.term {
 		known = &fleetpb.Known{}
 	}
-	out := &fleetpb.SyncResponse{Leader: true, Term: l.term, Known: versions, Hosts: uint32(snapshot.Hosts), Dispatchers: snapshot.Dispatchers,
+	out := &fleetpb.SyncResponse{Leader: true, Term: l.term, Known: versions, Hosts: uint32(snapshot.Hosts), Dispatchers: snapshot.Dispatchers, Peers: l.peerAddresses(),
 		ConfigAgeMillis: now.Sub(snapshot.ConfigAt).Milliseconds(), ServersAgeMillis: now.Sub(snapshot.ServersAt).Milliseconds()}
 	news := false
 	if versions.Placement != known.Placement {
@@ -95,14 +97,7 @@
 	}
 	if versions.Shards != known.Shards {
 		news = true
-		for service, a := range snapshot.Shards {
-			document, err := a.Encode()
-			if err != nil {
-				l.node.Log.Error("control: assignment can't be encoded", zap.String("service", service), zap.Error(err))
-				continue
-			}
-			out.Shards = append(out.Shards, &fleetpb.Shards{Service: service, Document: document, Revision: a.Revision})
-		}
+		out.Shards = l.node.shardsToProto(snapshot)
 	}
 	if versions.Blocked != known.Blocked {
 		out.HasBlocked, news = true, true
@@ -113,6 +108,19 @@
 	return out, news
 }
 
+// peerAddresses returns addresses of some live hosts.
+func (l *leadership) peerAddresses() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for _, peer := range l.hosts {
+		if peer.address != "" && len(out) < maxPeers {
+			out = append(out, peer.address)
+		}
+	}
+	return out
+}
+
 // describe numbers the parts of a snapshot. A part gets a new number when it is
 // replaced. It returns the snapshot that the numbers belong to, which is a newer
 // one if that was described before.
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -38,6 +38,8 @@
 	// ReadinessPath is where the balancer asks.
 	ReadinessPath string
 	PeerAddress   string
+	// Seeds are peer addresses of other hosts, some of which may be gone.
+	Seeds []string
 	// DispatchAddress is where this host places requests for others.
 	DispatchAddress string
 	MetricsAddress  string
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -14,6 +14,9 @@
 	Host PlatformHost `yaml:"host"`
 	// Listen holds the addresses that the host serves.
 	Listen PlatformListen `yaml:"listen"`
+	// Seeds are addresses at which other hosts serve their peers; some may be
+	// gone. Default: none.
+	Seeds []string `yaml:"seeds"`
 	// Store is the address of the platform's key-value store. Required.
 	Store PlatformStore `yaml:"store"`
 	// Limits bound the process.
@@ -40,8 +43,10 @@
 	Callers string `yaml:"callers"`
 	// Readiness answers the balancer. Required.
 	Readiness string `yaml:"readiness"`
-	// FirstPeerPort is the first of the ports between hosts; the second serves
-	// metrics. Required.
+	// Peers serves other hosts. Required.
+	Peers string `yaml:"peers"`
+	// FirstPeerPort serves metrics, the next port places requests for other
+	// hosts. Required.
 	FirstPeerPort int `yaml:"firstPeerPort"`
 }
 
@@ -88,7 +93,7 @@
 	if _, err := netip.ParseAddr(p.Host.Address); err != nil {
 		d.fail("host.address", "found %q, expected an IP address", p.Host.Address)
 	}
-	for path, address := range map[string]string{"listen.callers": p.Listen.Callers, "listen.readiness": p.Listen.Readiness, "store.address": p.Store.Address} {
+	for path, address := range map[string]string{"listen.callers": p.Listen.Callers, "listen.readiness": p.Listen.Readiness, "listen.peers": p.Listen.Peers, "store.address": p.Store.Address} {
 		if _, err := netip.ParseAddrPort(address); err != nil {
 			d.fail(path, "found %q, expected an IP address with a port", address)
 		}
