--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -146,7 +146,7 @@
 func (l *leadership) mayRenew() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.reason == "" && l.node.Clock().Sub(l.confirmed) < outageAuthority
+	return l.reason == "" && l.node.Clock().Sub(l.confirmed) < l.node.timing.outageAuthority
 }
 
 // othersStopped returns the instant from which on no former leader renews any
@@ -154,10 +154,10 @@
 func (l *leadership) othersStopped() boottime.Instant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.former) == 0 {
+	if len(l.former) == 0 || l.node.timing.assumeStopped {
 		return l.began
 	}
-	return l.began.Add(outageAuthority)
+	return l.began.Add(l.node.timing.formerWait)
 }
 
 // run does the leader's work until the leadership is lost or ctx ends.
@@ -367,6 +367,7 @@
 		n.noteStore(err)
 		if err != nil {
 			after = 0
+			n.pause(ctx, retryPause/4)
 			continue
 		}
 		for _, event := range batch.Events {
@@ -388,7 +389,7 @@
 	if len(former) == 0 {
 		return
 	}
-	if l.node.Clock().Sub(l.began) > outageAuthority {
+	if l.node.Clock().Sub(l.began) > l.node.timing.formerWait {
 		l.forget(ctx, former)
 		return
 	}
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -56,11 +56,17 @@
 	holders map[string]*holder
 	takes   map[uint16]*take // by the first position of the released range
 	doubted bool             // the committed assignment may be another
+	adopted int64            // version of the assignment that was read last
 }
 
 // holder is what the leader knows of a server's grants.
 type holder struct {
-	born         int64
+	born    int64
+	session Session
+	// minToken is the least token that may be sent in the session. A token that
+	// was sent before the session may have reached an earlier life of the
+	// server, for which a later life counts as another server.
+	minToken     int64
 	busy         bool
 	renewedAt    boottime.Instant
 	lastSent     boottime.Instant // of a grant that may have arrived
@@ -195,7 +201,7 @@
 func (m *manager) adopt(a *shards.Assignment) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.a, m.doubted = a, false
+	m.a, m.doubted, m.adopted = a, false, a.Version
 	m.log().Info("shards: assignment adopted", zap.Int64("version", a.Version), zap.Int("ranges", len(a.Ranges)))
 }
 
@@ -260,6 +266,11 @@
 func (m *manager) next(servers map[string]registry.Server, now boottime.Instant) *shards.Assignment {
 	candidates := m.candidates(servers)
 	if len(candidates) == 0 {
+		// Servers that do not acknowledge grants get new ones all the same.
+		next := m.a.Next()
+		if m.renumber(next) {
+			return next
+		}
 		return nil
 	}
 	load := sync.OnceValue(func() shards.Load { return m.l.load(m.service, now) })
@@ -310,9 +321,6 @@
 			delete(m.takes, r.From)
 		}
 		m.mu.Unlock()
-		if s, alive := servers[r.Owner]; alive && s.Born != r.Born {
-			ready = true // the life that held the range has ended
-		}
 		if !ready {
 			continue
 		}
@@ -346,10 +354,10 @@
 		}
 		s, listed := servers[r.Owner]
 		switch {
-		case r.Owner == "" || listed && s.Born != r.Born:
+		case r.Owner == "":
 			m.bequeath(next, r, candidates, load)
 			changed = true
-		case !listed || s.Draining || m.suspect(r.Owner, now):
+		case !listed || s.Born != r.Born || s.Draining || m.suspect(r.Owner, now):
 			lost = append(lost, r)
 		}
 	}
@@ -370,15 +378,20 @@
 	return h != nil && h.failingSince != 0 && now.Sub(h.failingSince) > suspectAfter
 }
 
-// renumber gives ranges new tokens whose server refuses the present one.
+// renumber gives ranges new tokens whose server refuses the present one or may
+// have had it in an earlier life.
 func (m *manager) renumber(next *shards.Assignment) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changed := false
 	for _, r := range m.a.Ranges {
-		if h := m.holders[r.Owner]; r.Held() && h != nil && h.outdated[idOf(r)] {
+		h := m.holders[r.Owner]
+		if !r.Held() || h == nil || h.born != r.Born {
+			continue
+		}
+		if h.outdated[idOf(r)] || r.Token < h.minToken {
 			delete(h.outdated, idOf(r))
-			next.Own(r.From, r.Owner, r.Born, "")
+			next.Own(r.From, r.Owner, r.Born, r.Handover)
 			changed = true
 		}
 	}
@@ -403,7 +416,7 @@
 		if h := m.holders[r.Owner]; h != nil && h.born == r.Born {
 			last = max(last, h.lastSent)
 		}
-		t = &take{token: r.Released, until: last.Add(grantExpiry)}
+		t = &take{token: r.Released, until: last.Add(m.l.node.timing.grantExpiry)}
 		m.takes[r.From] = t
 		m.mu.Unlock()
 		m.l.group.Go(func() { m.take(ctx, r, t) })
@@ -452,13 +465,14 @@
 	for id, ranges := range due {
 		h := m.holders[id]
 		if h == nil || h.born != servers[id].Born {
-			h = &holder{born: servers[id].Born, acked: make(map[grantID]bool), outdated: make(map[grantID]bool)}
+			h = &holder{born: servers[id].Born, session: m.l.node.Orders.Open(servers[id].Address), minToken: m.adopted + 1, acked: make(map[grantID]bool), outdated: make(map[grantID]bool)}
 			m.holders[id] = h
 		}
 		all := now.Sub(h.renewedAt) >= renewal
 		if !all {
 			ranges = slices.DeleteFunc(ranges, func(r shards.Range) bool { return h.acked[idOf(r)] })
 		}
+		ranges = slices.DeleteFunc(ranges, func(r shards.Range) bool { return r.Token < h.minToken })
 		if len(ranges) == 0 || h.busy || h.failingSince != 0 && now.Sub(h.triedAt) < failurePause {
 			continue
 		}
@@ -483,9 +497,9 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := m.l.node.Orders.Grant(callCtx, address, shards.Grant{From: r.From, To: r.To, Token: r.Token, Hold: Hold, Handover: r.Handover})
+		err := m.l.node.Orders.Grant(callCtx, address, h.session, shards.Grant{From: r.From, To: r.To, Token: r.Token, Hold: Hold, Handover: r.Handover})
 		cancel()
-		if !m.noteGrant(id, h, r, err) {
+		if !m.noteGrant(id, h, address, r, err) {
 			return
 		}
 	}
@@ -510,7 +524,7 @@
 }
 
 // noteGrant notes how a grant ended and reports whether to go on.
-func (m *manager) noteGrant(id string, h *holder, r shards.Range, err error) bool {
+func (m *manager) noteGrant(id string, h *holder, address string, r shards.Range, err error) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var orderErr *shards.OrderError
@@ -524,6 +538,12 @@
 		h.outdated[idOf(r)] = true
 		return true
 	}
+	if orderErr == nil || !orderErr.Refused {
+		// The session can't be used again. Until the ranges have new tokens
+		// nothing is sent to the server.
+		h.session, h.minToken = m.l.node.Orders.Open(address), m.a.Version+1
+		clear(h.acked)
+	}
 	if h.failingSince == 0 {
 		h.failingSince = m.l.node.Clock()
 		m.log().Warn("shards: grant not acknowledged", zap.String("server", id), zap.Error(err))
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -27,6 +27,8 @@
 	syncWait = 500 * time.Millisecond
 	// syncTimeout is longer than syncWait by what a busy leader may take.
 	syncTimeout = syncWait + 500*time.Millisecond
+	// syncGap lets news gather between two syncs.
+	syncGap = 10 * time.Millisecond
 	// staleAfter is the age of the server list from which a host reads the
 	// store itself.
 	staleAfter = 1100 * time.Millisecond
@@ -34,8 +36,10 @@
 	readInterval = 800 * time.Millisecond
 	// electionJitter spreads the tries to become leader.
 	electionJitter = 120 * time.Millisecond
-	// retryPause follows a failed reading of the store.
+	// retryPause follows a failed call to the store.
 	retryPause = 250 * time.Millisecond
+	// stepPause follows each step without a leader.
+	stepPause = 100 * time.Millisecond
 	// leaderWatch is how long a host waits for the key of a leader that it
 	// can't reach to disappear.
 	leaderWatch = 700 * time.Millisecond
@@ -62,7 +66,8 @@
 // Node is one host's part in the control of the deployment.
 type Node struct {
 	Options
-	view *View
+	view   *View
+	timing timing
 
 	mu      sync.Mutex
 	leading *leadership
@@ -83,15 +88,26 @@
 type leaderRecord struct {
 	Host    string `json:"host"`
 	Address string `json:"address"`
-	// Term is the revision at which the key was created; it is not stored in
-	// the key itself.
+	// Term is the revision of the key's last change; it is not stored in the
+	// key itself.
 	Term int64 `json:"term,omitempty"`
 }
 
+// timing holds what keeps a position from having two owners. Tests break it.
+type timing struct {
+	// outageAuthority is how long a leader renews without a lease, formerWait
+	// how long a new leader believes that of a former one.
+	outageAuthority, formerWait time.Duration
+	grantExpiry                 time.Duration
+	// assumeStopped treats former leaders as stopped.
+	assumeStopped bool
+}
+
 // NewNode returns a Node with an empty View.
 func NewNode(options Options) *Node {
 	options.Log = options.Log.Named("control")
-	return &Node{Options: options, view: NewView(), tracker: registry.NewTracker(), storeUp: true}
+	return &Node{Options: options, view: NewView(), timing: timing{outageAuthority: outageAuthority, formerWait: outageAuthority, grantExpiry: grantExpiry},
+		tracker: registry.NewTracker(), storeUp: true}
 }
 
 // View returns what the host knows.
@@ -153,6 +169,7 @@
 			if n.Clock().Sub(n.view.Load().ServersAt) > staleAfter && n.readEntries(ctx) {
 				n.findLeader(ctx)
 			}
+			n.pause(ctx, syncGap)
 			return
 		}
 		n.mu.Lock()
@@ -160,9 +177,14 @@
 		n.mu.Unlock()
 		n.Log.Info("control: leader does not answer", zap.String("leader", leader.Host), zap.Int64("term", leader.Term))
 	}
-	if !n.findLeader(ctx) && !n.askPeers(ctx) {
-		n.pause(ctx, retryPause)
+	if !n.findLeader(ctx) {
+		n.askPeers(ctx)
+	}
+	if n.currentLeadership() != nil {
+		return
 	}
+	// Without it a host that finds no leader would ask the store without end.
+	n.pause(ctx, stepPause)
 	if n.Clock().Sub(n.view.Load().ServersAt) > readInterval {
 		n.readEntries(ctx)
 	}
@@ -261,7 +283,9 @@
 			if err := json.Unmarshal(kv.Value, &current); err != nil {
 				n.Log.Warn("control: leader's key can't be read", zap.Error(err))
 			}
-			current.Term = kv.CreateRevision
+			// A host that takes over its own former key changes it without a new
+			// creation.
+			current.Term = kv.ModRevision
 		case kv.Key == formerKey:
 			former = kv.Value
 		case strings.HasPrefix(kv.Key, shardsPrefix):
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -24,26 +24,23 @@
 )
 
 // askPeers asks other hosts for the leader and for what they know. It is the
-// last resort of a host that reaches neither the leader nor the store. It
-// returns true if a leader was named that is not known to be unreachable.
-func (n *Node) askPeers(ctx context.Context) bool {
+// last resort of a host that reaches neither the leader nor the store.
+func (n *Node) askPeers(ctx context.Context) {
 	n.mu.Lock()
 	peers := slices.Concat(n.Seeds, n.peers)
 	n.mu.Unlock()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	found := false
 	asked := 0
 	for _, address := range peers {
 		if address == n.Address || asked == relayPeers {
 			continue
 		}
 		asked++
-		found = n.askPeer(ctx, address) || found
+		n.askPeer(ctx, address)
 	}
-	return found
 }
 
-func (n *Node) askPeer(ctx context.Context, address string) bool {
+func (n *Node) askPeer(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	client := fleetpbconnect.NewFleetServiceClient(n.Peers, "http://"+address)
@@ -51,7 +48,7 @@
 	response, err := client.Sync(ctx, connect.NewRequest(&fleetpb.SyncRequest{Relay: true}))
 	if err != nil {
 		n.Log.Debug("control: peer does not answer", zap.String("peer", address), zap.Error(err))
-		return false
+		return
 	}
 	m := response.Msg
 	if m.Known != nil {
@@ -63,11 +60,10 @@
 	defer n.mu.Unlock()
 	n.known = nil // versions of a relay mean nothing to the leader
 	if m.LeaderAddress == "" || m.Term < n.term || m.Term == n.unreachable {
-		return false
+		return
 	}
 	n.leader = leaderRecord{Host: m.LeaderHost, Address: m.LeaderAddress, Term: m.Term}
 	n.term = m.Term
-	return true
 }
 
 // relay answers a host that found no leader with all that this host knows.
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -30,9 +30,18 @@
 	DecodeServer  func(kv store.KeyValue) (registry.Server, error)
 }
 
+// Session is a connection to one life of a server: it ends when the connection
+// breaks, so that nothing sent on it can reach a later life.
+type Session int64
+
 // Orders gives servers their keys. Errors are *shards.OrderError.
 type Orders interface {
-	Grant(ctx context.Context, address string, grant shards.Grant) error
+	// Open begins a new session with the server at address.
+	Open(address string) Session
+	// Grant gives or renews a range within a session. If the session has ended
+	// nothing is sent, and the error's Ended is set.
+	Grant(ctx context.Context, address string, session Session, grant shards.Grant) error
+	// Release takes a range back from whichever life is at the address.
 	Release(ctx context.Context, address string, from, to uint16, token int64) (handover string, err error)
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -23,8 +23,6 @@
 	idleFactor = 1.1
 	// defaultIdle is used until the configuration is known.
 	defaultIdle = 60 * time.Second
-	// sweepInterval is the pace of closing idle connections.
-	sweepInterval = time.Second
 	// drainNotice is how long a stopping host still accepts connections: the
 	// balancer asks each second and takes a host out after two refusals.
 	drainNotice = 3200 * time.Millisecond
--- a/internal/shards/assignment.go
+++ b/internal/shards/assignment.go
@@ -36,7 +36,9 @@
 	Refused bool
 	// NotSent: no connection could be opened, so it will not be carried out.
 	NotSent bool
-	Err     error
+	// Ended: the session with the server has ended.
+	Ended bool
+	Err   error
 }
 
 // Error describes the failure.
