--- a/cmd/cassiasill/serveplatform.go
+++ b/cmd/cassiasill/serveplatform.go
@@ -25,11 +25,17 @@
 	if err != nil {
 		return err
 	}
-	log, err := telemetry.NewLogger(os.Stdout, string(s.Log.Level), telemetry.Format(s.Log.Format))
+	out := telemetry.NewAsyncWriter(os.Stdout)
+	defer out.Close()
+	metrics, err := entryhost.NewMetrics()
 	if err != nil {
 		return err
 	}
-	host, err := platform.NewHost(s, log)
+	log, err := telemetry.NewBoundedLogger(out, string(s.Log.Level), telemetry.Format(s.Log.Format), metrics.LineOmitted)
+	if err != nil {
+		return err
+	}
+	host, err := platform.NewHost(s, metrics, log)
 	if err != nil {
 		return err
 	}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -15,7 +15,6 @@
 	"github.com/cassiasill/cassiasill/internal/entry"
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/kernel"
-	"github.com/cassiasill/cassiasill/internal/telemetry"
 )
 
 // Names under which the services find each other.
@@ -55,7 +54,9 @@
 	Grace time.Duration
 	Dial  exchange.DialFunc
 	Clock boottime.Clock
-	Log   *zap.Logger
+	// Metrics are served on MetricsAddress.
+	Metrics *Metrics
+	Log     *zap.Logger
 }
 
 // Host is one entry host.
@@ -66,23 +67,15 @@
 
 // New assembles a host; Run starts it.
 func New(options Options) (*Host, error) {
-	metrics, err := telemetry.NewMetrics()
-	if err != nil {
-		return nil, err
-	}
-	instruments, err := entry.NewMetrics(metrics.Meter("entry"))
-	if err != nil {
-		return nil, err
-	}
 	options.Log = options.Log.With(zap.String("host", options.Name))
 	c := newControlService(options)
-	if err := registerState(metrics.Meter("control"), c.node); err != nil {
+	if err := registerState(options.Metrics.Meter("control"), c.node); err != nil {
 		return nil, err
 	}
 	d := newDispatchService(options)
 	budget := entry.NewBudget(options.RetryShare, options.RetryBurst, options.RetryWindow)
-	e := &entryService{options: options, metrics: instruments, budget: budget}
-	a := &adminService{options: options, metrics: metrics}
+	e := &entryService{options: options, metrics: options.Metrics.entry, budget: budget}
+	a := &adminService{options: options, metrics: options.Metrics.Metrics}
 	stop := max(options.Grace-stopMargin, time.Second)
 	return &Host{kernel: kernel.New(options.Log, stop, c, d, a, e), budget: budget}, nil
 }
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -2,12 +2,58 @@
 
 import (
 	"context"
+	"errors"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/cassiasill/cassiasill/internal/control"
+	"github.com/cassiasill/cassiasill/internal/entry"
+	"github.com/cassiasill/cassiasill/internal/store"
+	"github.com/cassiasill/cassiasill/internal/telemetry"
 )
 
+// Metrics are the instruments of one host.
+type Metrics struct {
+	*telemetry.Metrics
+	entry      *entry.Metrics
+	storeCalls metric.Int64Counter
+	lines      metric.Int64Counter
+}
+
+// NewMetrics creates the instruments.
+func NewMetrics() (*Metrics, error) {
+	set, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	m := &Metrics{Metrics: set}
+	if m.entry, err = entry.NewMetrics(set.Meter("entry")); err != nil {
+		return nil, err
+	}
+	if m.storeCalls, err = set.Meter("control").Int64Counter("control.store_calls", metric.WithDescription("Calls to the store by kind and result.")); err != nil {
+		return nil, err
+	}
+	m.lines, err = set.Meter("log").Int64Counter("log.lines_omitted", metric.WithDescription("Log lines left out because their message came too often."))
+	return m, err
+}
+
+// StoreCall counts a call to the store.
+func (m *Metrics) StoreCall(call string, err error) {
+	result := "ok"
+	var failed *store.Error
+	switch {
+	case errors.As(err, &failed):
+		result = failed.Kind.String()
+	case err != nil:
+		result = "failed"
+	}
+	m.storeCalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("result", result)))
+}
+
+// LineOmitted counts a log line that was left out.
+func (m *Metrics) LineOmitted() { m.lines.Add(context.Background(), 1) }
+
 // registerState makes gauges of what the host knows.
 func registerState(meter metric.Meter, node *control.Node) error {
 	gauges := []struct {
--- /dev/null
+++ b/internal/telemetry/async_test.go
@@ -0,0 +1,59 @@
+package telemetry
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+// stuck is an output whose reader does not read until it is released.
+type stuck struct {
+	bytes.Buffer
+	release chan struct{}
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return s.Buffer.Write(p)
+}
+
+// Guards against requests that wait for a reader of the log.
+func TestStuckReaderDelaysNothing(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	w := NewAsyncWriter(out)
+	start := time.Now()
+	for range 3 * queuedLines {
+		_, err := w.Write([]byte("line\n"))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, time.Since(start) < 500*time.Millisecond)
+	close(out.release)
+	_, _ = w.Write([]byte("last\n"))
+	time.Sleep(50 * time.Millisecond)
+	w.Close()
+	assert.Assert(t, strings.Contains(out.String(), "lines dropped"))
+}
+
+// Guards against a log whose volume grows with the load, and against one that
+// leaves out lines without saying so.
+func TestVolumeIsBoundedPerMessage(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	close(out.release)
+	w := NewAsyncWriter(out)
+	omitted := 0
+	log, err := NewBoundedLogger(w, "info", FormatJSON, func() { omitted++ })
+	assert.NilError(t, err)
+	for range 1000 {
+		log.Info("entry: frequent")
+	}
+	log.Info("entry: request failed", zap.String("request", "id-1"))
+	w.Close()
+	written := strings.Count(out.String(), "frequent")
+	assert.Assert(t, written >= linesPerSecond && written <= 2*linesPerSecond, "%d lines", written)
+	assert.Equal(t, omitted+written, 1000)
+	assert.Assert(t, strings.Contains(out.String(), "id-1"))
+}
