Measure a server's speed as a ratio of means

Cause: the speed was a mean of ratios in log space, which takes the many short requests of a skewed distribution for speed: 0.7 was measured as about 0.95, so more was accepted than could be served in time (test TestSpeedOfSkewedWork).

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -109,7 +109,12 @@
 	// about a quarter of its target.
 	zoneCostPerByte = 700 * time.Nanosecond
 	// speedWeight is the weight of one sample in a server's speed.
-	speedWeight = 0.08
+	speedWeight = 0.05
+	// priorSamples is the weight of an assumed speed, maxSample bounds one sample
+	// relative to its work, and typicalWork is the work of an assumed sample.
+	priorSamples = 4
+	maxSample    = 10
+	typicalWork  = 100 * time.Millisecond
 	// failureWeight is the weight of one result in a server's failure rate.
 	failureWeight = 0.2
 	// minOwnSamples is how many samples make a Core believe its own.
@@ -161,6 +166,8 @@
 	inflight int
 	speed    float64
 	samples  float64
+	expected float64 // mean seconds of work at speed 1
+	observed float64 // mean seconds that it took
 	failures float64 // rate
 	backoff  time.Duration
 	pausedTo Instant
@@ -222,12 +229,13 @@
 	for _, d := range list {
 		s := c.servers[d.ID]
 		if s == nil {
-			s = &server{speed: 1, warmTo: now.Add(d.Warmup)}
+			s = &server{warmTo: now.Add(d.Warmup)}
+			s.assume(1, typicalWork)
 		}
 		// What is told of a server's speed is older than what this Core has
 		// measured itself.
 		if d.Speed > 0 && d.Speed != s.Speed && (c.share < 1 || s.samples < minOwnSamples) {
-			s.speed = d.Speed
+			s.assume(d.Speed, typicalWork)
 		}
 		s.Server = d
 		next[d.ID] = s
@@ -311,11 +319,21 @@
 
 // sample takes one observation: the expected work took so long.
 func (s *server) sample(work, took time.Duration) {
-	// In log space, one very long request does not undo many normal ones.
-	ratio := min(max(work.Seconds()/max(took.Seconds(), 1e-4), 1.0/8), 8)
+	// One very long request must not undo many normal ones.
+	observed := min(took.Seconds(), maxSample*work.Seconds())
 	s.samples++
-	weight := max(speedWeight, 1/(s.samples+4))
-	s.speed = min(max(math.Exp((1-weight)*math.Log(s.speed)+weight*math.Log(ratio)), minSpeed), maxSpeed)
+	weight := max(speedWeight, 1/(s.samples+priorSamples))
+	// The speed is a ratio of means. A mean of ratios would take the many short
+	// requests of a skewed distribution for speed.
+	s.expected += weight * (work.Seconds() - s.expected)
+	s.observed += weight * (observed - s.observed)
+	s.speed = min(max(s.expected/max(s.observed, 1e-6), minSpeed), maxSpeed)
+}
+
+// assume sets the speed to what is known from elsewhere.
+func (s *server) assume(speed float64, work time.Duration) {
+	s.speed = speed
+	s.expected, s.observed = work.Seconds(), work.Seconds()/speed
 }
 
 // ownerOf returns the server that owns the request's key, nil if there is none.
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -184,3 +186,26 @@
 	assert.Assert(t, seen["c"] > 110 && seen["c"] < 190, "%v", seen)
 	assert.Assert(t, seen["a"] > 45 && seen["b"] > 45, "%v", seen)
 }
+
+// Guards against taking many short requests of a skewed distribution for speed:
+// capacity was overestimated by a third, and requests were accepted that could
+// not be served in time.
+func TestSpeedOfSkewedWork(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	const sigma = 0.8
+	sum := 0.0
+	for range 40 {
+		c := core(Server{ID: "a", Zone: "z", Slots: 1})
+		now := Instant(0)
+		for id := uint64(1); id <= 200; id++ {
+			a := ask(id, now)
+			one(t, c.Ask(now, a))
+			work := math.Exp(random.NormFloat64()*sigma-sigma*sigma/2) * a.Work.Seconds() / 0.7
+			now += Instant(work * float64(time.Second))
+			c.Done(now, id, Result{Outcome: Succeeded})
+		}
+		sum += c.servers["a"].speed
+	}
+	mean := sum / 40
+	assert.Assert(t, mean > 0.6 && mean < 0.82, "speed 0.7 was measured as %.2f", mean)
+}
