--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -51,11 +51,12 @@
 
 // cluster is a deployment on a virtual clock: hosts, servers and a store.
 type cluster struct {
-	t       *testing.T
-	store   *memory.Store
-	random  *rand.Rand
-	start   time.Time
-	options func(*Node)
+	t        *testing.T
+	store    *memory.Store
+	random   *rand.Rand // of the schedule, used by one goroutine
+	lateness *rand.Rand // of the orders, under mu
+	start    time.Time
+	options  func(*Node)
 
 	mu       sync.Mutex
 	servers  map[string]*fakeServer // by address
@@ -81,7 +82,7 @@
 }
 
 func newCluster(t *testing.T, hosts, servers int, seed uint64, options func(*Node)) *cluster {
-	c := &cluster{t: t, store: memory.New(), random: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), options: options,
+	c := &cluster{t: t, store: memory.New(), random: rand.New(rand.NewPCG(seed, 1)), lateness: rand.New(rand.NewPCG(seed, 2)), start: time.Now(), options: options,
 		servers: make(map[string]*fakeServer), hosts: make(map[string]*testHost), cut: make(map[[2]string]bool), opened: make(map[Session]int64)}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.put("config", "1")
@@ -255,7 +256,7 @@
 func (o *fakeOrders) late() (time.Duration, bool) {
 	o.c.mu.Lock()
 	defer o.c.mu.Unlock()
-	return time.Duration(2+o.c.random.IntN(10)) * time.Second, o.c.random.Float64() < o.c.lateRate
+	return time.Duration(2+o.c.lateness.IntN(10)) * time.Second, o.c.lateness.Float64() < o.c.lateRate
 }
 
 func (o *fakeOrders) Open(address string) Session {
