--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -62,6 +62,13 @@
 	return v
 }
 
+// NewStaticView returns a View of one Snapshot, for hosts without a store.
+func NewStaticView(snapshot Snapshot) *View {
+	v := NewView()
+	v.current.Store(&snapshot)
+	return v
+}
+
 // Load returns the current Snapshot.
 func (v *View) Load() *Snapshot { return v.current.Load() }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -81,9 +80,8 @@
 	ask      dispatch.Ask
 	send     exchange.Request
 	tries    tries
-	// refusal is the kind of the last refusal by a server, for the log.
-	servers []string
-	work    time.Duration
+	servers  []string // that were tried
+	work     time.Duration
 }
 
 // ServeHTTP answers one request.
@@ -236,7 +234,7 @@
 	if result.Outcome != exchange.Answered || result.Status >= http.StatusInternalServerError {
 		h.Log.Info("entry: try ended without success", zap.String("request", q.id), zap.String("route", q.route.Name),
 			zap.String("server", decision.Server), zap.Stringer("outcome", result.Outcome), zap.Int("status", result.Status),
-			zap.Duration("waited", decision.Waited), zap.Duration("took", took), zap.Int64("config", h.View.Load().Config.Version), zap.Error(result.Err))
+			zap.Duration("waited", decision.Waited), zap.Duration("took", took), zap.Int64("config", h.configVersion()), zap.Error(result.Err))
 	}
 	return result
 }
@@ -340,72 +338,3 @@
 	}
 	return &apierror.Error{Kind: kind, Detail: result.Outcome.String(), Err: result.Err, RetryAfter: 2 * answerMargin}
 }
-
-// answer passes a server's answer on.
-func (h *Handler) answer(w http.ResponseWriter, q *request, result exchange.Result) {
-	header := w.Header()
-	for name, values := range returned(result.Header, &h.Headers) {
-		header[name] = values
-	}
-	if result.Rest == nil {
-		header.Set("Content-Length", strconv.Itoa(len(result.Body)))
-	} else if result.Length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(result.Length, 10))
-	}
-	w.WriteHeader(result.Status)
-	if err := h.copyBody(w, result); err != nil {
-		h.Log.Info("entry: answer broken off", zap.String("request", q.id), zap.Error(err))
-		h.Metrics.ended(q.route, "broken-off", time.Since(q.started))
-		// An answer that ends early must not look complete.
-		panic(http.ErrAbortHandler)
-	}
-	h.Metrics.ended(q.route, strconv.Itoa(result.Status), time.Since(q.started))
-}
-
-func (h *Handler) copyBody(w http.ResponseWriter, result exchange.Result) error {
-	if _, err := io.Copy(w, bytes.NewReader(result.Body)); err != nil {
-		return err
-	}
-	if result.Rest == nil {
-		return nil
-	}
-	defer h.close(result)
-	_, err := io.Copy(w, result.Rest)
-	return err
-}
-
-// close ends what is left of a large answer.
-func (h *Handler) close(result exchange.Result) {
-	if err := result.Rest.Close(); err != nil {
-		h.Log.Debug("entry: connection not closed", zap.Error(err))
-	}
-}
-
-// reject answers with an error of the project's own.
-func (h *Handler) reject(w http.ResponseWriter, q *request, r *http.Request, failure *apierror.Error) {
-	answer := failure.Answer()
-	if q == nil {
-		q = &request{id: r.Header.Get(h.Headers.RequestID), started: time.Now()}
-	}
-	h.Metrics.ended(q.route, string(failure.Kind), time.Since(q.started))
-	h.Log.Info("entry: request failed", zap.String("request", q.id), zap.String("kind", string(failure.Kind)),
-		zap.Int("status", answer.Status), zap.Duration("after", time.Since(q.started)), zap.String("detail", failure.Detail),
-		zap.Duration("retry_after", answer.RetryAfter), zap.Strings("servers", q.servers), zap.Error(failure.Err))
-	if failure.Kind == apierror.KindCanceled {
-		panic(http.ErrAbortHandler)
-	}
-	header := w.Header()
-	if q.id != "" {
-		header.Set(h.Headers.RequestID, q.id)
-	}
-	if answer.RetryAfter > 0 && answer.Status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", strconv.FormatFloat(answer.RetryAfter.Seconds(), 'f', 3, 64))
-	}
-	body := []byte(string(failure.Kind) + "\n")
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(answer.Status)
-	if _, err := w.Write(body); err != nil {
-		h.Log.Debug("entry: answer not written", zap.String("request", q.id), zap.Error(err))
-	}
-}
