--- /dev/null
+++ b/internal/control/grants.go
@@ -0,0 +1,198 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/boottime"
+	"github.com/cassiasill/cassiasill/internal/registry"
+	"github.com/cassiasill/cassiasill/internal/shards"
+)
+
+// holder is what the leader knows of a server's grants.
+type holder struct {
+	born    int64
+	session Session
+	// minToken is the least token that may be sent in the session. A token that
+	// was sent before the session may have reached an earlier life of the
+	// server, for which a later life counts as another server.
+	minToken     int64
+	busy         bool
+	renewedAt    boottime.Instant
+	lastSent     boottime.Instant // of a grant that may have arrived
+	failingSince boottime.Instant // 0 if the last grant was acknowledged
+	triedAt      boottime.Instant
+	acked        map[grantID]bool
+	outdated     map[grantID]bool // refused: a higher token was seen
+}
+
+type grantID struct {
+	from, to uint16
+	token    int64
+}
+
+func idOf(r shards.Range) grantID { return grantID{r.From, r.To, r.Token} }
+
+// take is the taking of a released range from its server.
+type take struct {
+	token    int64 // of the release
+	until    boottime.Instant
+	finished bool
+	handover string
+}
+
+// startTakes starts the taking of released ranges. Until when a range may still
+// be held follows from the last grant that can have been sent, by this leader
+// or a former one.
+func (m *manager) startTakes(ctx context.Context) {
+	for _, r := range m.a.Ranges {
+		if r.Released == 0 {
+			continue
+		}
+		m.mu.Lock()
+		t := m.takes[r.From]
+		if t != nil && t.token == r.Released {
+			m.mu.Unlock()
+			continue
+		}
+		last := m.l.othersStopped()
+		if h := m.holders[r.Owner]; h != nil && h.born == r.Born {
+			last = max(last, h.lastSent)
+		}
+		t = &take{token: r.Released, until: last.Add(m.l.node.timing.grantExpiry)}
+		m.takes[r.From] = t
+		m.mu.Unlock()
+		m.l.group.Go(func() { m.take(ctx, r, t) })
+	}
+}
+
+// take asks the server to release the range until it answers or its grants have
+// run out.
+func (m *manager) take(ctx context.Context, r shards.Range, t *take) {
+	for ctx.Err() == nil && m.l.node.Clock() < t.until {
+		s, ok := m.servers()[r.Owner]
+		address := s.Address
+		if !ok {
+			address = m.l.addressOf(r.Owner)
+		}
+		if address == "" {
+			m.l.node.pause(ctx, failurePause)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
+		handover, err := m.l.node.Orders.Release(callCtx, address, r.From, r.To, r.Released)
+		cancel()
+		if err == nil {
+			m.mu.Lock()
+			t.finished, t.handover = true, handover
+			m.mu.Unlock()
+			m.l.wake()
+			return
+		}
+		m.log().Debug("shards: release not answered", zap.String("server", r.Owner), zap.Error(err))
+		m.l.node.pause(ctx, failurePause)
+	}
+}
+
+// renew sends the grants that are due, one server after the other in each of
+// its goroutines.
+func (m *manager) renew(ctx context.Context, servers map[string]registry.Server, now boottime.Instant) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	due := make(map[string][]shards.Range)
+	for _, r := range m.a.Ranges {
+		if s, ok := servers[r.Owner]; r.Held() && ok && s.Born == r.Born {
+			due[r.Owner] = append(due[r.Owner], r)
+		}
+	}
+	for id, ranges := range due {
+		h := m.holders[id]
+		if h == nil || h.born != servers[id].Born {
+			h = &holder{born: servers[id].Born, session: m.l.node.Orders.Open(servers[id].Address), minToken: m.adopted + 1, acked: make(map[grantID]bool), outdated: make(map[grantID]bool)}
+			m.holders[id] = h
+		}
+		all := now.Sub(h.renewedAt) >= renewal
+		if !all {
+			ranges = slices.DeleteFunc(ranges, func(r shards.Range) bool { return h.acked[idOf(r)] })
+		}
+		ranges = slices.DeleteFunc(ranges, func(r shards.Range) bool { return r.Token < h.minToken })
+		if len(ranges) == 0 || h.busy || h.failingSince != 0 && now.Sub(h.triedAt) < failurePause {
+			continue
+		}
+		h.busy = true
+		if all {
+			h.renewedAt = now
+		}
+		address := servers[id].Address
+		m.l.group.Go(func() {
+			m.grantAll(ctx, id, h, address, ranges)
+			m.mu.Lock()
+			h.busy = false
+			m.mu.Unlock()
+		})
+	}
+}
+
+// grantAll sends grants to one server until one fails.
+func (m *manager) grantAll(ctx context.Context, id string, h *holder, address string, ranges []shards.Range) {
+	for _, r := range ranges {
+		if !m.mayGrant(h, r) {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		err := m.l.node.Orders.Grant(callCtx, address, h.session, shards.Grant{From: r.From, To: r.To, Token: r.Token, Hold: Hold, Handover: r.Handover})
+		cancel()
+		if !m.noteGrant(id, h, address, r, err) {
+			return
+		}
+	}
+	m.l.wake()
+}
+
+// mayGrant reports whether the range is still to be renewed, and notes the time
+// of sending if so. A change is committed under the same lock, so that no grant
+// of a released range is sent after its last sending was read.
+func (m *manager) mayGrant(h *holder, r shards.Range) bool {
+	if !m.l.mayRenew() {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if current := m.a.Find(r.From); !current.Held() || idOf(*current) != idOf(r) {
+		return false
+	}
+	h.triedAt = m.l.node.Clock()
+	h.lastSent = h.triedAt
+	return true
+}
+
+// noteGrant notes how a grant ended and reports whether to go on.
+func (m *manager) noteGrant(id string, h *holder, address string, r shards.Range, err error) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var orderErr *shards.OrderError
+	switch {
+	case err == nil:
+		h.acked[idOf(r)] = true
+		h.failingSince = 0
+		return true
+	case errors.As(err, &orderErr) && orderErr.Outdated:
+		m.log().Warn("shards: grant refused, a higher token was seen", zap.String("server", id), zap.Uint16("from", r.From), zap.Int64("token", r.Token))
+		h.outdated[idOf(r)] = true
+		return true
+	}
+	if orderErr == nil || !orderErr.Refused {
+		// The session can't be used again. Until the ranges have new tokens
+		// nothing is sent to the server.
+		h.session, h.minToken = m.l.node.Orders.Open(address), m.a.Version+1
+		clear(h.acked)
+	}
+	if h.failingSince == 0 {
+		h.failingSince = m.l.node.Clock()
+		m.log().Warn("shards: grant not acknowledged", zap.String("server", id), zap.Error(err))
+	}
+	return false
+}
