--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -25,7 +25,7 @@
 )
 
 var headers = exchange.Headers{RequestID: "X-Id", DeadlineMillis: "X-Deadline", Signature: "X-Signature", ExpectInstance: "X-Expect",
-	Instance: "X-Instance", Load: "X-Load", NotExecuted: "X-Not-Executed", KeyPosition: "X-Key"}
+	Instance: "X-Instance", Load: "X-Load", NotExecuted: "X-Refused", KeyPosition: "X-Key"}
 
 // path is a host's request path in front of test servers.
 type path struct {
@@ -106,7 +106,7 @@
 }
 
 func refusing(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set("X-Refused", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -16,7 +16,7 @@
 )
 
 var names = Headers{RequestID: "X-Id", DeadlineMillis: "X-Deadline", Signature: "X-Signature", ExpectInstance: "X-Expect",
-	Instance: "X-Instance", Load: "X-Load", NotExecuted: "X-Not-Executed", KeyPosition: "X-Key"}
+	Instance: "X-Instance", Load: "X-Load", NotExecuted: "X-Refused", KeyPosition: "X-Key"}
 
 // serve answers each request on each connection with what answer writes.
 func serve(t *testing.T, answer func(c net.Conn, n int, r *http.Request)) *Pool {
@@ -101,7 +101,7 @@
 		{"not HTTP", func(c net.Conn, _ int, _ *http.Request) { _, _ = io.WriteString(c, "garbage\r\n\r\n") }, Broken, ""},
 		{"reset", func(c net.Conn, _ int, _ *http.Request) { reset(c) }, Broken, ""},
 		{"refused", func(c net.Conn, _ int, _ *http.Request) {
-			_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n")
 		}, Refused, ""},
 		{"another server", func(c net.Conn, _ int, _ *http.Request) {
 			_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
