Let the moved download's test move its key only after the answer began

Cause: TestDownloadContinuesAtNewOwner announced the move before it wrote the head of the old owner's answer. If the router saw the move first, it left that server, as TestRequestLeavesAServerThatLostItsKey asks, and sent the whole request to the new owner. The test took the other order for granted. Shown by a pause of 50 ms between the move and the head: the same failure, at the same line, each time (one run of the test alone).

Ruled out: a lost position of a continued download. TestBrokenDownload covers the positions, and the failing request carried no range at all.

Change: the fake server moves the key and breaks the connection once the caller has received the head. The assertions stay.

--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -29,27 +29,30 @@
 // Change may distort the answer's head.
 func sendDocument(cut int, change func(head string) string) step {
 	return func(c *call) {
-		if !c.read() {
-			return
-		}
-		first, last, status, extra := 0, len(document)-1, "200 OK", ""
-		if r := c.r.Header.Get("Range"); r != "" && (c.r.Header.Get("If-Range") == `"v1"` || c.r.Header.Get("If-Range") == "") {
-			_, _ = fmt.Sscanf(r, "bytes=%d-%d", &first, &last)
-			status, extra = "206 Partial", fmt.Sprintf("Content-Range: bytes %d-%d/%d\n", first, last, len(document))
-		}
-		head := fmt.Sprintf("HTTP/1.1 %s\nCassiasill-Request-Id: %s\nETag: \"v1\"\n%sContent-Length: %d\n\n",
-			status, c.r.Header.Get("Cassiasill-Request-Id"), extra, last+1-first)
-		if change != nil {
-			head = change(head)
-		}
-		_, _ = io.WriteString(c.conn, strings.ReplaceAll(head, "\n", "\r\n"))
-		_, _ = io.WriteString(c.conn, document[first:min(last+1, first+cut)])
-		if cut <= last-first {
+		if c.read() && !writeDocument(c, cut, change) {
 			c.conn.Close()
 		}
 	}
 }
 
+// writeDocument answers a request that was read with the document's first cut
+// bytes or the range it asks for. It returns false if that is not all.
+func writeDocument(c *call, cut int, change func(head string) string) bool {
+	first, last, status, extra := 0, len(document)-1, "200 OK", ""
+	if r := c.r.Header.Get("Range"); r != "" && (c.r.Header.Get("If-Range") == `"v1"` || c.r.Header.Get("If-Range") == "") {
+		_, _ = fmt.Sscanf(r, "bytes=%d-%d", &first, &last)
+		status, extra = "206 Partial", fmt.Sprintf("Content-Range: bytes %d-%d/%d\n", first, last, len(document))
+	}
+	head := fmt.Sprintf("HTTP/1.1 %s\nCassiasill-Request-Id: %s\nETag: \"v1\"\n%sContent-Length: %d\n\n",
+		status, c.r.Header.Get("Cassiasill-Request-Id"), extra, last+1-first)
+	if change != nil {
+		head = change(head)
+	}
+	_, _ = io.WriteString(c.conn, strings.ReplaceAll(head, "\n", "\r\n"))
+	_, _ = io.WriteString(c.conn, document[first:min(last+1, first+cut)])
+	return cut > last-first
+}
+
 func replaced(old, new string) func(string) string {
 	return func(head string) string { return strings.Replace(head, old, new, 1) }
 }
@@ -102,18 +105,30 @@
 // Guards against a download of a moved key that ends with its old owner.
 func TestDownloadContinuesAtNewOwner(t *testing.T) {
 	var h *harness
+	begun := make(chan struct{})
 	old := newFake(t, func(c *call) {
+		if !c.read() {
+			return
+		}
+		writeDocument(c, 100_000, nil)
+		// Before the answer's head is passed on, a request of a moved key is
+		// sent anew as a whole instead.
+		<-begun
 		h.routes.set(routing.Owner{State: routing.StateWaiting})
-		sendDocument(100_000, nil)(c)
+		c.conn.Close()
 		h.routes.set(served("s1", 2))
 	})
 	owner := newFake(t, sendDocument(1<<30, nil))
 	h = newHarness(t, func(o *Options) {
 		o.Services[0].Routes = []Route{{Class: admission.ClassDownload, Repeatable: true}}
 	}, old, owner)
-	_, body, err := h.do(t, "GET", "/keyed/k", nil)
+	answer, err := h.server.Client().Get(h.server.URL + "/keyed/k")
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	close(begun)
+	body, err := io.ReadAll(answer.Body)
 	assert.NilError(t, err)
-	assert.Assert(t, body == document)
+	assert.Assert(t, string(body) == document)
 	assert.Equal(t, owner.last().r.Header.Get("Cassiasill-Fencing-Token"), "7.2")
 	assert.Equal(t, owner.last().r.Header.Get("Range"), fmt.Sprintf("bytes=100000-%d", len(document)-1))
 }
