--- a/internal/control/changes.go
+++ b/internal/control/changes.go
@@ -11,14 +11,6 @@
 	"github.com/cassiasill/cassiasill/internal/shards"
 )
 
-// nextIf returns next, or nil while the committed assignment is not known.
-func (m *manager) nextIf(known bool, servers map[string]registry.Server, now boottime.Instant) *shards.Assignment {
-	if !known {
-		return nil
-	}
-	return m.next(servers, now)
-}
-
 // next returns the assignment that should be committed now, nil if the current
 // one can stay.
 func (m *manager) next(servers map[string]registry.Server, now boottime.Instant) *shards.Assignment {
@@ -137,7 +129,7 @@
 }
 
 // renumber gives ranges new tokens whose server refuses the present one or may
-// have had it in an earlier life.
+// have had it in an earlier life, unless next takes them from their server.
 func (m *manager) renumber(next *shards.Assignment) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -147,6 +139,9 @@
 		if !r.Held() || h == nil || h.born != r.Born {
 			continue
 		}
+		if changing := next.Find(r.From); !changing.Held() || changing.Token != r.Token {
+			continue
+		}
 		if h.outdated[idOf(r)] || r.Token < h.minToken {
 			delete(h.outdated, idOf(r))
 			next.Own(r.From, r.Owner, r.Born, r.Handover)
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -81,8 +81,10 @@
 		return
 	}
 	m.publish()
-	if next := m.nextIf(known, servers, now); next != nil {
-		m.commit(ctx, next)
+	if known {
+		if next := m.next(servers, now); next != nil {
+			m.commit(ctx, next)
+		}
 	}
 	m.startTakes(ctx)
 	// A change that may have been committed is acted upon by nobody, so what
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -19,10 +19,12 @@
 	for name, values := range returned(result.Header, &h.Headers) {
 		header[name] = values
 	}
-	if result.Rest == nil {
-		header.Set("Content-Length", strconv.Itoa(len(result.Body)))
-	} else if result.Length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(result.Length, 10))
+	length := result.Length
+	if result.Rest == nil && q.send.Method != http.MethodHead {
+		length = int64(len(result.Body))
+	}
+	if length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	w.WriteHeader(result.Status)
 	if err := h.copyBody(w, result); err != nil {
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -88,16 +87,6 @@
 	h.budget.SetBounds(share, burst, window)
 }
 
-// peerClient returns a client for calls between hosts and to the store.
-func peerClient(dial exchange.DialFunc) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}}
-}
-
 // listen opens a TCP listener.
 func listen(ctx context.Context, address string) (net.Listener, error) {
 	var config net.ListenConfig
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -16,6 +16,7 @@
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/entry"
+	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/kernel"
 	"github.com/cassiasill/cassiasill/internal/placing"
 	"github.com/cassiasill/cassiasill/internal/telemetry"
@@ -31,7 +32,7 @@
 func newControlService(options Options) *controlService {
 	return &controlService{options: options, node: control.NewNode(control.Options{
 		Host: options.Name, Address: options.PeerAddress, DispatchAddress: options.DispatchAddress, Seeds: options.Seeds, Store: options.Store, Schema: options.Schema, Orders: options.Orders,
-		Reports: control.NewReports(), Peers: peerClient(options.Dial), Clock: options.Clock, Log: options.Log,
+		Reports: control.NewReports(), Peers: exchange.NewClient(options.Dial), Clock: options.Clock, Log: options.Log,
 	})}
 }
 
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -48,6 +49,20 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
+// Settings of the clients for calls to other hosts and to the store.
+const (
+	// clientIdleConns is what is kept open to one address: the calls that wait
+	// for news and those beside them.
+	clientIdleConns = 4
+	clientIdle      = 30 * time.Second
+)
+
+// NewClient returns a client for calls to other hosts and to the store.
+func NewClient(dial DialFunc) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: clientIdleConns,
+		IdleConnTimeout: clientIdle, DisableCompression: true}}
+}
+
 // Pool keeps the connections to one server.
 type Pool struct {
 	address    string
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -34,8 +34,6 @@
 	Warmup time.Duration
 	// Speed is its measured speed relative to its service's mean; 0 if unknown.
 	Speed float64
-	// Seq counts its heartbeats; it is zero in a List.
-	Seq int64
 }
 
 // List is an immutable list of servers.
@@ -44,17 +42,9 @@
 	Servers map[string]Server
 }
 
-// Beat is the last heartbeat that was new in a reading.
-type Beat struct {
-	Seq int64
-	// ReadAt is when the reading began that showed it first.
-	ReadAt boottime.Instant
-}
-
 // Tracker turns readings of all entries into lists.
 type Tracker struct {
 	servers  map[string]Server
-	beats    map[string]Beat
 	failing  boottime.Instant // since when readings fail; 0 if they do not
 	graceEnd boottime.Instant
 	version  uint64
@@ -62,7 +52,7 @@
 
 // NewTracker returns a Tracker that knows no server.
 func NewTracker() *Tracker {
-	return &Tracker{servers: make(map[string]Server), beats: make(map[string]Beat)}
+	return &Tracker{servers: make(map[string]Server)}
 }
 
 // Observe takes a complete reading that began at the given instant and reports
@@ -76,10 +66,6 @@
 	seen := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		seen[s.ID] = true
-		if t.beats[s.ID].Seq != s.Seq || t.servers[s.ID].Born != s.Born {
-			t.beats[s.ID] = Beat{Seq: s.Seq, ReadAt: began}
-		}
-		s.Seq = 0
 		old, known := t.servers[s.ID]
 		if known && old.Born == s.Born {
 			s.Draining = s.Draining || old.Draining
@@ -98,7 +84,6 @@
 	for id := range t.servers {
 		if !seen[id] && !began.Before(t.graceEnd) {
 			delete(t.servers, id)
-			delete(t.beats, id)
 			changed = true
 		}
 	}
@@ -121,9 +106,6 @@
 	return true
 }
 
-// Beat returns the last new heartbeat of a server.
-func (t *Tracker) Beat(id string) Beat { return t.beats[id] }
-
 // List returns the current list.
 func (t *Tracker) List() *List {
 	out := &List{Version: t.version, Servers: make(map[string]Server, len(t.servers))}
