Give the lead and the dispatchers to the largest hosts

Ruled out: too short timeouts of the sync; the leader used what its share of a core allows all the time.

Change: hosts tell their capacity (processor share of the settings) to the leader, which tells the largest. Smaller hosts stand later for election; a leader of less than half the largest capacity gives way once a larger host has been there for 3 s and reaches the store; dispatchers are taken from hosts of at least half the largest capacity, one service a host while there are enough, the leader last.

--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -16,9 +16,11 @@
 
 // peerHost is what the leader knows of another host.
 type peerHost struct {
-	seen     boottime.Instant
-	address  string
-	dispatch string
+	since, seen boottime.Instant // first and last sync
+	storeAt     boottime.Instant // when it last reached the store
+	address     string
+	dispatch    string
+	capacity    float64
 }
 
 // stand tries to become leader: it replaces the leader's key, which must be at
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -1,14 +1,13 @@
 package control
 
 import (
-	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -52,12 +51,15 @@
 	hosts     map[string]peerHost
 	// storeReached is when a host last reached the store, as the hosts tell.
 	storeReached boottime.Instant
-	versions     fleetpb.Known
-	seen         *Snapshot // that versions describe
-	loads        map[string]*loadMeter
-	speeds       *speedMeter
-	crashes      *crashTable
-	addresses    map[string]string // last known, also of servers that are gone
+	// successorWanted asks larger hosts to find out whether they reach the
+	// store.
+	successorWanted bool
+	versions        fleetpb.Known
+	seen            *Snapshot // that versions describe
+	loads           map[string]*loadMeter
+	speeds          *speedMeter
+	crashes         *crashTable
+	addresses       map[string]string // last known, also of servers that are gone
 
 	managers map[string]*manager // belongs to tick
 	group    conc.WaitGroup
@@ -256,35 +258,56 @@
 		hosts++
 	}
 	dispatchers := l.chooseDispatchers(now)
+	succession := l.succession(now)
+	l.successorWanted = succession.wanted
 	n.tracker.Reached(l.storeReached)
 	l.mu.Unlock()
+	if succession.ready {
+		l.lose("a larger host is there to lead")
+		return
+	}
 	n.view.setHosts(hosts, dispatchers)
+	n.noteLargest(succession.largest)
 	n.readServers(ctx, n.tracker)
 	if changed {
 		n.view.setServers(n.tracker.List(), n.view.Load().ServersAt)
 	}
 }
 
-// chooseDispatchers names a live host for each service by rendezvous hashing, so
-// that the loss of a host moves only what it had.
+// chooseDispatchers names a live host for each service.
 func (l *leadership) chooseDispatchers(now boottime.Instant) map[string]string {
 	config := l.node.config()
 	if config == nil {
 		return nil
 	}
-	addresses := []string{l.node.DispatchAddress}
+	hosts := []dutyHost{{address: l.node.DispatchAddress, capacity: l.node.Capacity, leads: true}}
 	for _, peer := range l.hosts {
 		if peer.dispatch != "" && now.Sub(peer.seen) < dispatcherWindow {
-			addresses = append(addresses, peer.dispatch)
+			hosts = append(hosts, dutyHost{address: peer.dispatch, capacity: peer.capacity})
 		}
 	}
-	out := make(map[string]string, len(config.Services))
-	for name := range config.Services {
-		out[name] = slices.MaxFunc(addresses, func(a, b string) int {
-			return cmp.Compare(xxhash.Sum64String(name+a), xxhash.Sum64String(name+b))
-		})
+	return assignDispatchers(slices.Collect(maps.Keys(config.Services)), hosts)
+}
+
+// succession is what a leader thinks of leaving the lead to another host.
+type succession struct {
+	largest float64 // capacity of the largest live host
+	wanted  bool    // that host should lead instead
+	ready   bool    // one that should reaches the store
+}
+
+// succession compares the live hosts with this one.
+func (l *leadership) succession(now boottime.Instant) succession {
+	s := succession{largest: l.node.Capacity}
+	for _, peer := range l.hosts {
+		s.largest = max(s.largest, peer.capacity)
+		if fitForDuties(l.node.Capacity, peer.capacity) || now.Sub(peer.since) < giveWayAfter {
+			continue
+		}
+		s.wanted = true
+		s.ready = s.ready || peer.storeAt != 0 && now.Sub(peer.storeAt) < staleAfter
 	}
-	return out
+	return s
 }
 
 // followConfig waits for changes of the configuration. After any doubt it reads
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -51,6 +51,8 @@
 	Address string // of the FleetService
 	// DispatchAddress is where this host places requests for others.
 	DispatchAddress string
+	// Capacity is what this host can use for others, in cores.
+	Capacity float64
 	// Seeds are addresses of other hosts, some of which may be gone. They are
 	// asked while neither the leader nor the store answers.
 	Seeds   []string
@@ -82,6 +84,9 @@
 	storeAt     boottime.Instant // of the last call that succeeded
 	retired     bool
 	peers       []string // that the leader named
+	largest     float64  // capacity of the largest live host; 0 if unknown
+	// successorWanted is true if the leader gives way to a larger host.
+	successorWanted bool
 }
 
 // leaderRecord is the value of the leader's key.
@@ -169,6 +174,9 @@
 			if n.Clock().Sub(n.view.Load().ServersAt) > staleAfter && n.readEntries(ctx) {
 				n.findLeader(ctx)
 			}
+			if n.maySucceed() {
+				n.readEntries(ctx)
+			}
 			n.pause(ctx, syncGap)
 			return
 		}
@@ -195,7 +203,7 @@
 func (n *Node) syncWith(ctx context.Context, leader leaderRecord) bool {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	request := &fleetpb.SyncRequest{Host: n.Host, Address: n.Address, DispatchAddress: n.DispatchAddress, WaitMillis: syncWait.Milliseconds()}
+	request := &fleetpb.SyncRequest{Host: n.Host, Address: n.Address, DispatchAddress: n.DispatchAddress, Capacity: n.Capacity, WaitMillis: syncWait.Milliseconds()}
 	n.mu.Lock()
 	request.Known = n.known
 	request.StoreAgeMillis = -1
@@ -258,6 +266,10 @@
 		n.view.setBlocked(blocked)
 	}
 	n.view.setHosts(int(m.Hosts), m.Dispatchers)
+	n.noteLargest(m.LargestCapacity)
+	n.mu.Lock()
+	n.successorWanted = m.SuccessorWanted
+	n.mu.Unlock()
 	if len(m.Peers) > 0 {
 		n.mu.Lock()
 		n.peers = m.Peers
@@ -299,7 +311,7 @@
 	n.mu.Unlock()
 	switch {
 	case found.Key == "" && !retired:
-		n.pause(ctx, time.Duration(rand.Float64()*float64(electionJitter)))
+		n.pause(ctx, time.Duration(rand.Float64()*float64(electionJitter))+electionDelay(n.Capacity, n.largestHost()))
 		n.stand(ctx, 0, former)
 	case current.Host == n.Host && !retired:
 		// The key is from an earlier process on this host, which has ended.
@@ -326,6 +338,29 @@
 	}
 }
 
+// maySucceed reports whether the leader wants to give way to a host like this
+// one. It does so once this host has reached the store.
+func (n *Node) maySucceed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.successorWanted && !n.retired && fitForDuties(n.Capacity, n.largest)
+}
+
+// noteLargest takes the capacity of the largest live host, if it is known.
+func (n *Node) noteLargest(capacity float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if capacity > 0 {
+		n.largest = capacity
+	}
+}
+
+func (n *Node) largestHost() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.largest
+}
+
 func (n *Node) pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -54,10 +54,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if m.Host != "" && m.Host != l.node.Host {
-		l.hosts[m.Host] = peerHost{seen: now, address: m.Address, dispatch: m.DispatchAddress}
+		peer := peerHost{since: now, seen: now, address: m.Address, dispatch: m.DispatchAddress, capacity: m.Capacity}
+		if old, known := l.hosts[m.Host]; known {
+			peer.since, peer.storeAt = old.since, old.storeAt
+		}
 		if m.StoreAgeMillis >= 0 {
-			l.storeReached = max(l.storeReached, now.Add(-time.Duration(m.StoreAgeMillis)*time.Millisecond))
+			peer.storeAt = max(peer.storeAt, now.Add(-time.Duration(m.StoreAgeMillis)*time.Millisecond))
+			l.storeReached = max(l.storeReached, peer.storeAt)
 		}
+		l.hosts[m.Host] = peer
 	}
 	for _, load := range m.Loads {
 		meter := l.loads[load.Service]
@@ -83,7 +88,7 @@
 	if known.Term != l.term {
 		known = &fleetpb.Known{}
 	}
-	out := &fleetpb.SyncResponse{Leader: true, Term: l.term, Known: versions, Hosts: uint32(snapshot.Hosts), Dispatchers: snapshot.Dispatchers, Peers: l.peerAddresses(),
+	out := &fleetpb.SyncResponse{Leader: true, Term: l.term, Known: versions, Hosts: uint32(snapshot.Hosts), Dispatchers: snapshot.Dispatchers, Peers: l.peerAddresses(), LargestCapacity: l.node.largestHost(), SuccessorWanted: l.wantsSuccessor(),
 		ConfigAgeMillis: now.Sub(snapshot.ConfigAt).Milliseconds(), ServersAgeMillis: now.Sub(snapshot.ServersAt).Milliseconds()}
 	news := false
 	if versions.Placement != known.Placement {
@@ -108,6 +113,12 @@
 	return out, news
 }
 
+func (l *leadership) wantsSuccessor() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.successorWanted
+}
+
 // peerAddresses returns addresses of some live hosts.
 func (l *leadership) peerAddresses() []string {
 	l.mu.Lock()
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -29,7 +29,9 @@
 
 // Options configure a Host.
 type Options struct {
-	Name             string
+	Name string
+	// Capacity is the processor time that the host gets, in cores.
+	Capacity         float64
 	AvailabilityZone string
 	CallersAddress   string
 	ReadinessAddress string
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -31,7 +31,8 @@
 
 func newControlService(options Options) *controlService {
 	return &controlService{options: options, node: control.NewNode(control.Options{
-		Host: options.Name, Address: options.PeerAddress, DispatchAddress: options.DispatchAddress, Seeds: options.Seeds, Store: options.Store, Schema: options.Schema, Orders: options.Orders,
+		Host: options.Name, Address: options.PeerAddress, DispatchAddress: options.DispatchAddress, Capacity: options.Capacity,
+		Seeds: options.Seeds, Store: options.Store, Schema: options.Schema, Orders: options.Orders,
 		Reports: control.NewReports(), Peers: exchange.NewClient(options.Dial), Clock: options.Clock, Log: options.Log,
 	})}
 }
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -62,8 +62,15 @@
 type PlatformLimits struct {
 	// MemoryMB is what the process may use, in MB. Default: 256.
 	MemoryMB int `yaml:"memoryMB"`
+	// CPUQuota is the part of a core that the process gets. Default: 1.
+	CPUQuota float64 `yaml:"cpuQuota"`
+	// CoreSpeed is how fast a core is, relative to the others. Default: 1.
+	CoreSpeed float64 `yaml:"coreSpeed"`
 }
 
+// Capacity is the processor time that the process gets, in cores.
+func (l PlatformLimits) Capacity() float64 { return l.CPUQuota * l.CoreSpeed }
+
 // LoadPlatform reads and checks the file at path. It fails with Errors that
 // list everything that is wrong with the file.
 func LoadPlatform(path string) (*Platform, error) {
@@ -78,7 +85,7 @@
 func ParsePlatform(file string, data []byte) (*Platform, error) {
 	p := &Platform{
 		Store:  PlatformStore{Timeout: Duration(time.Second)},
-		Limits: PlatformLimits{MemoryMB: 256},
+		Limits: PlatformLimits{MemoryMB: 256, CPUQuota: 1, CoreSpeed: 1},
 		Log:    Log{Level: "info", Format: "json"},
 	}
 	if err := parse(file, data, p, p.validate); err != nil {
@@ -101,4 +108,6 @@
 	between(d, "listen.firstPeerPort", p.Listen.FirstPeerPort, 1, 65534)
 	between(d, "store.timeout", p.Store.Timeout, Duration(time.Millisecond), Duration(time.Minute))
 	between(d, "limits.memoryMB", p.Limits.MemoryMB, 16, 1<<20)
+	between(d, "limits.cpuQuota", p.Limits.CPUQuota, 0.001, 1024)
+	between(d, "limits.coreSpeed", p.Limits.CoreSpeed, 0.001, 1024)
 }
