Prefer servers to which the host has an idle connection

The dispatcher chose the fastest free server without regard to who asks.

Ruled out: longer idle times; servers close after 10 s, and a request that must not be repeated needs a connection that was used lately.

Change: the dispatcher remembers which hosts have an idle connection to a server and adds 40 ms to the cost of a server that needs a new one. Test: TestConnectionsAreUsedAgain.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -114,7 +114,8 @@
 }
 
 func (c *Core) send(now Instant, w *waiting, s *server, d Decision) Decision {
-	c.sent[w.ID] = sending{server: s.ID, at: now, work: w.Work, crowded: s.inflight >= s.Slots}
+	s.links.taken(w.From)
+	c.sent[w.ID] = sending{server: s.ID, from: w.From, at: now, work: w.Work, crowded: s.inflight >= s.Slots}
 	s.inflight++
 	s.triedAt = now
 	d.Server, d.Speed, d.Crowded = s.ID, s.effectiveSpeed(now), s.inflight > s.Slots
@@ -170,6 +171,9 @@
 	if s.Zone != w.Zone {
 		cost += w.AnswerBytes * zoneCostPerByte.Seconds()
 	}
+	if !s.links.idle(now, w.From, w.Repeatable) {
+		cost += newConnectionCost.Seconds()
+	}
 	if c.share < 1 {
 		// An exponential variate over the cost picks each server with a
 		// probability proportional to the inverse of its cost.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -28,6 +28,8 @@
 	// Returned is true if the caller was rejected before and has come back.
 	Returned   bool
 	Repeatable bool
+	// From numbers the host that will send the request; connections are its own.
+	From uint64
 	// Zone is where the answer goes; AnswerBytes is its expected size.
 	Zone        string
 	AnswerBytes float64
@@ -108,6 +110,9 @@
 	// availability zones is worth avoiding; a large answer is worth the wait of
 	// about a quarter of its target.
 	zoneCostPerByte = 700 * time.Nanosecond
+	// newConnectionCost is the delay that a new connection is worth avoiding: it
+	// takes two round trips and the time of the server, which all callers share.
+	newConnectionCost = 40 * time.Millisecond
 	// speedWeight is the weight of one sample in a server's speed.
 	speedWeight = 0.05
 	// priorSamples is the weight of an assumed speed, maxSample bounds one sample
@@ -174,6 +179,7 @@
 	triedAt  Instant
 	warmTo   Instant
 	offered  offered // by requests for its keys
+	links    links
 }
 
 func (s *server) effectiveSpeed(now Instant) float64 {
@@ -208,6 +214,7 @@
 
 type sending struct {
 	server string
+	from   uint64
 	at     Instant
 	work   time.Duration
 	// crowded is true if the server had no free slot when the request was sent.
@@ -302,6 +309,7 @@
 		s.failures *= 1 - failureWeight
 		s.backoff = 0
 		s.pausedTo = min(s.pausedTo, now)
+		s.links.freed(now, sent.from)
 		if !sent.crowded && (!result.HasLoad || result.Waiting == 0) && sent.work > 0 {
 			s.sample(sent.work, now.Sub(sent.at))
 		}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -209,3 +209,52 @@
 	mean := sum / 40
 	assert.Assert(t, mean > 0.6 && mean < 0.82, "speed 0.7 was measured as %.2f", mean)
 }
+
+// Guards against aserrin-gw-grown: 59 hosts opened a connection for nearly every
+// second request, because each request went to whichever server was fastest.
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	const hosts, servers, requests = 59, 58, 20_000
+	var list []Server
+	for i := range servers {
+		list = append(list, Server{ID: string(rune('a' + i)), Zone: "z", Slots: 2, Speed: []float64{0.5, 1, 1, 1.5}[i%4]})
+	}
+	c := NewCore(1, 0, nil)
+	c.SetServers(0, list)
+	random := rand.New(rand.NewPCG(3, 4))
+	type running struct {
+		id  uint64
+		end Instant
+	}
+	var work []running
+	lastUse := make(map[[2]string]Instant)
+	opened, late := 0, 0
+	now := Instant(0)
+	for id := uint64(1); id <= requests; id++ {
+		now += Instant(random.ExpFloat64() * float64(1620*time.Microsecond))
+		for i := 0; i < len(work); i++ {
+			if work[i].end <= now {
+				c.Done(work[i].end, work[i].id, Result{Outcome: Succeeded})
+				work = append(work[:i], work[i+1:]...)
+				i--
+			}
+		}
+		a := ask(id, now)
+		a.Work, a.Target, a.Deadline = 130*time.Millisecond, now+600*ms, now+1500*ms
+		a.From = uint64(random.IntN(hosts)) + 1
+		for _, d := range c.Ask(now, a) {
+			if d.Server == "" {
+				late++
+				continue
+			}
+			link := [2]string{d.Server, string(rune(a.From))}
+			if at, ok := lastUse[link]; !ok || now.Sub(at) > 4*time.Second {
+				opened++
+			}
+			end := now + Instant(a.Work.Seconds()/d.Speed*float64(time.Second))
+			lastUse[link] = end
+			work = append(work, running{d.ID, end})
+		}
+	}
+	assert.Equal(t, late, 0)
+	assert.Assert(t, opened < requests/6, "%d connections for %d requests", opened, requests)
+}
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -17,6 +18,7 @@
 type Server struct {
 	dispatcher *dispatch.Dispatcher
 	group      conc.WaitGroup
+	hosts      atomic.Uint64 // connections so far
 
 	mu     sync.Mutex
 	links  map[*link]struct{}
@@ -49,7 +51,7 @@
 		s.group.Go(l.writeAll)
 		s.group.Go(func() {
 			defer s.remove(l)
-			newClientState(s.dispatcher, l).serve()
+			newClientState(s.hosts.Add(1), s.dispatcher, l).serve()
 		})
 	}
 }
@@ -82,6 +84,7 @@
 
 // clientState is what one host has asked for.
 type clientState struct {
+	host       uint64 // tells the hosts apart; 0 is this one
 	dispatcher *dispatch.Dispatcher
 	link       *link
 
@@ -95,8 +98,8 @@
 	number  uint64 // the dispatcher's
 }
 
-func newClientState(dispatcher *dispatch.Dispatcher, l *link) *clientState {
-	return &clientState{dispatcher: dispatcher, link: l, requests: make(map[uint64]placed)}
+func newClientState(host uint64, dispatcher *dispatch.Dispatcher, l *link) *clientState {
+	return &clientState{host: host, dispatcher: dispatcher, link: l, requests: make(map[uint64]placed)}
 }
 
 func (c *clientState) serve() {
@@ -147,7 +150,7 @@
 
 func (c *clientState) ask(m *fleetpb.DispatchAsk) {
 	now := c.dispatcher.Now()
-	ask := dispatch.Ask{Service: m.Service, Position: int(m.Position) - 1, Priority: int(m.Priority), Repeatable: m.Repeatable,
+	ask := dispatch.Ask{Service: m.Service, From: c.host, Position: int(m.Position) - 1, Priority: int(m.Priority), Repeatable: m.Repeatable,
 		Zone: m.Zone, AnswerBytes: float64(m.AnswerBytes), Returned: m.Returned, Target: now.Add(time.Duration(m.TargetMicros) * time.Microsecond),
 		Deadline: now.Add(fromMicros(m.DeadlineMicros)), Work: fromMicros(m.WorkMicros), Exclude: m.Exclude}
 	p := placed{m.Service, c.dispatcher.Number()}
