--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -96,8 +97,12 @@
 	return true
 }
 
-// noteStore logs when the store is lost and regained.
+// noteStore logs when the store is lost and regained. A call that this host has
+// given up itself says nothing of the store.
 func (n *Node) noteStore(err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
 	n.mu.Lock()
 	changed := n.storeUp != (err == nil)
 	n.storeUp = err == nil
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -168,7 +169,8 @@
 	leader, unreachable := n.leader, n.unreachable
 	n.mu.Unlock()
 	if leader.Address != "" && leader.Term != unreachable {
-		if n.syncWith(ctx, leader) {
+		err := n.syncWith(ctx, leader)
+		if err == nil {
 			// A leader that does not reach the store can't lead: if its key is
 			// gone, this host stands for election.
 			if n.Clock().Sub(n.view.Load().ServersAt) > staleAfter && n.readEntries(ctx) {
@@ -183,7 +185,9 @@
 		n.mu.Lock()
 		n.unreachable = leader.Term
 		n.mu.Unlock()
-		n.Log.Info("control: leader does not answer", zap.String("leader", leader.Host), zap.Int64("term", leader.Term))
+		if ctx.Err() == nil {
+			n.logLost(leader, err)
+		}
 	}
 	if !n.findLeader(ctx) {
 		n.askPeers(ctx)
@@ -198,9 +202,20 @@
 	}
 }
 
-// syncWith reports to the leader and takes what is newer. It returns false if
-// the host that was asked does not lead.
-func (n *Node) syncWith(ctx context.Context, leader leaderRecord) bool {
+// errNotLeading is the answer of a host that leads no more.
+var errNotLeading = errors.New("the host does not lead")
+
+// logLost tells a leader that has resigned from one that does not answer.
+func (n *Node) logLost(leader leaderRecord, err error) {
+	message := "control: leader does not answer"
+	if errors.Is(err, errNotLeading) {
+		message = "control: leader has resigned"
+	}
+	n.Log.Info(message, zap.String("leader", leader.Host), zap.Int64("term", leader.Term), zap.Error(err))
+}
+
+// syncWith reports to the leader and takes what is newer.
+func (n *Node) syncWith(ctx context.Context, leader leaderRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	request := &fleetpb.SyncRequest{Host: n.Host, Address: n.Address, DispatchAddress: n.DispatchAddress, Capacity: n.Capacity, WaitMillis: syncWait.Milliseconds()}
@@ -218,11 +233,14 @@
 	client := fleetpbconnect.NewFleetServiceClient(n.Peers, "http://"+leader.Address)
 	sentAt := n.Clock()
 	response, err := client.Sync(ctx, connect.NewRequest(request))
-	if err != nil || !response.Msg.Leader {
-		return false
+	if err != nil {
+		return err
+	}
+	if !response.Msg.Leader {
+		return errNotLeading
 	}
 	n.apply(response.Msg, sentAt)
-	return true
+	return nil
 }
 
 // apply takes a leader's answer. Ages count from the answer; measured from the
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -61,14 +61,9 @@
 
 // Service is a group of interchangeable servers.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConnections is what one server accepts from all hosts together.
-	MaxConnections int
+	Name string
 	// KeyOwned is true if each key position has one owning server.
 	KeyOwned bool
-	// ColdTime is how long keys are slow that arrive without a handover.
-	ColdTime time.Duration
 }
 
 // Limits bound what callers may send.
