--- /dev/null
+++ b/internal/standin/faults.go
@@ -0,0 +1,141 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Freeze stops everything, heartbeats included, until Resume. Connections are
+// still accepted, as the kernel does for a frozen process.
+func (s *Server) Freeze() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gate == nil && s.current != nil {
+		s.gate = make(chan struct{})
+	}
+}
+
+// Resume ends Freeze; what arrived meanwhile is then processed.
+func (s *Server) Resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resume()
+}
+
+func (s *Server) resume() {
+	if s.gate != nil {
+		close(s.gate)
+		s.gate = nil
+	}
+}
+
+// Crash breaks all connections and loses the grants.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crash()
+}
+
+func (s *Server) crash() {
+	if s.current == nil {
+		return
+	}
+	in := s.current
+	s.current = nil
+	// Executions end here and not when their goroutines notice: after a crash
+	// nothing runs that a peer could still observe.
+	for execution := range in.executing {
+		in.end(execution, false)
+	}
+	s.report()
+	close(in.dead)
+	s.resume()
+	if in.http != nil {
+		// The listener is closed twice; errors leave nothing to be done.
+		_ = in.listener.Close()
+		_ = in.http.Close()
+	}
+}
+
+// Restart starts a new incarnation at the same address, after a crash if the
+// server still runs.
+func (s *Server) Restart() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return errors.New("the server was closed")
+	}
+	s.crash()
+	s.current = s.newInstance()
+	if s.address == "" {
+		return nil
+	}
+	if err := s.listen(s.address); err != nil {
+		s.current = nil
+		return err
+	}
+	return nil
+}
+
+// Slow multiplies the service time by factor; one is the normal speed.
+func (s *Server) Slow(factor float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = factor
+}
+
+// Mislead makes /health and /load report an idle, healthy server.
+func (s *Server) Mislead(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mislead = on
+}
+
+// Drain makes the server report that it is leaving. It still runs what it gets,
+// so that work sent too late shows in Executions.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if in := s.current; in != nil && in.leaving.IsZero() {
+		in.leaving = time.Now()
+		in.grants.SetLeaving(true)
+		s.sample(in)
+	}
+}
+
+// LeavingSince returns when Drain was called, or the zero time.
+func (s *Server) LeavingSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current == nil {
+		return time.Time{}
+	}
+	return s.current.leaving
+}
+
+// slowFactor is how much longer requests run after the action "slow".
+const slowFactor = 10
+
+// Control runs the named action of the dev command's control address. The
+// action "resume" also ends "slow".
+func (s *Server) Control(action string) error {
+	switch action {
+	case "freeze":
+		s.Freeze()
+	case "resume":
+		s.Resume()
+		s.Slow(1)
+	case "crash":
+		s.Crash()
+	case "restart":
+		return s.Restart()
+	case "slow":
+		s.Slow(slowFactor)
+	case "drain":
+		s.Drain()
+	default:
+		return fmt.Errorf("unknown action %q", action)
+	}
+	return nil
+}
