Send hosts the changes of an assignment instead of the whole

Change: hosts tell the versions of the assignments that they have; the leader remembers the last 48 and sends only the ranges that differ, with the version that they apply to. A host that can't apply them asks again and gets the whole.

Tests: TestChangesGiveTheSameAssignment (random changes), TestChangesOfAnotherBaseAreRefused, TestHostsFollowTheAssignment.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -1,11 +1,14 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
 )
 
 // Guards against keys without an owner, or with two, on a calm deployment.
@@ -133,3 +136,31 @@
 		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
 	})
 }
+
+// Guards against hosts whose assignment differs from the leader's, although they
+// are sent changes only.
+func TestHostsFollowTheAssignment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 6, 9, nil)
+		time.Sleep(6 * time.Second)
+		for i := range 3 {
+			c.crash(fmt.Sprintf("s%d", i))
+			time.Sleep(6500 * time.Millisecond)
+			c.startServer(fmt.Sprintf("s%d", i))
+			time.Sleep(2 * time.Second)
+			want := c.leader().node.View().Load().Shards["svc"]
+			for _, h := range c.hosts {
+				assert.DeepEqual(t, h.node.View().Load().Shards["svc"], want)
+			}
+		}
+		// A host that can't apply what it was sent asks again.
+		host := c.hosts["host-h0"]
+		if host.node.Leading() {
+			host = c.hosts["host-h1"]
+		}
+		a := host.node.View().Load().Shards["svc"]
+		_, err := decodeShards(&fleetpb.Shards{ChangesOnly: true, Document: []byte(`{"base":1,"version":9}`)}, a)
+		assert.ErrorContains(t, err, "do not fit")
+		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
+	})
+}
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -85,6 +85,7 @@
 	if request.Known == nil || request.Known.Term != leader.Term {
 		request.Known = &fleetpb.Known{Term: leader.Term}
 	}
+	request.Known = n.withAssignments(request.Known)
 	n.Reports.take(request)
 	client := fleetpbconnect.NewFleetServiceClient(n.Peers, "http://"+leader.Address)
 	sentAt := n.Clock()
@@ -99,6 +100,29 @@
 	return nil
 }
 
+// withAssignments adds the versions of the assignments that this host has.
+func (n *Node) withAssignments(known *fleetpb.Known) *fleetpb.Known {
+	out := &fleetpb.Known{Term: known.Term, Config: known.Config, Servers: known.Servers, Shards: known.Shards, Blocked: known.Blocked,
+		Placement: known.Placement, Assignments: make(map[string]int64)}
+	for service, a := range n.view.Load().Shards {
+		out.Assignments[service] = a.Version
+	}
+	return out
+}
+
+// decodeShards decodes an assignment, or the changes since the one that this
+// host has.
+func decodeShards(s *fleetpb.Shards, have *shards.Assignment) (*shards.Assignment, error) {
+	switch {
+	case !s.ChangesOnly:
+		return shards.Decode(s.Document, s.Revision)
+	case have == nil:
+		return nil, &shards.InvalidError{Problem: "changes without an assignment"}
+	default:
+		return have.WithChanges(s.Document, s.Revision)
+	}
+}
+
 // apply takes a leader's answer. Ages count from the answer; measured from the
 // sending of the request they are too long by at most the time it took, which
 // errs on the safe side.
@@ -125,9 +149,12 @@
 		n.view.setServers(nil, serversAt)
 	}
 	for _, s := range m.Shards {
-		a, err := shards.Decode(s.Document, s.Revision)
+		a, err := decodeShards(s, n.view.Load().Shards[s.Service])
 		if err != nil {
 			n.Log.Warn("control: leader's assignment refused", zap.String("service", s.Service), zap.Error(err))
+			n.mu.Lock()
+			n.known.Shards = 0 // asks for it again
+			n.mu.Unlock()
 			continue
 		}
 		n.view.setShards(s.Service, a)
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -56,10 +56,12 @@
 	successorWanted bool
 	versions        fleetpb.Known
 	seen            *Snapshot // that versions describe
-	loads           map[string]*loadMeter
-	speeds          *speedMeter
-	crashes         *crashTable
-	addresses       map[string]string // last known, also of servers that are gone
+	// recent holds the last assignments by service, the newest last.
+	recent    map[string][]*shards.Assignment
+	loads     map[string]*loadMeter
+	speeds    *speedMeter
+	crashes   *crashTable
+	addresses map[string]string // last known, also of servers that are gone
 
 	managers map[string]*manager // belongs to tick
 	group    conc.WaitGroup
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
+	"github.com/cassiasill/cassiasill/internal/shards"
 )
 
 // Settings of the questions to hosts that do not lead.
@@ -83,14 +84,14 @@
 		out.Servers, out.HasServers = serversToProto(snapshot.Servers), true
 		out.ServersAgeMillis = now.Sub(snapshot.ServersAt).Milliseconds()
 	}
-	out.Shards = n.shardsToProto(snapshot)
+	out.Shards = n.shardsToProto(snapshot.Shards)
 	return out
 }
 
-// shardsToProto encodes the assignments of a snapshot.
-func (n *Node) shardsToProto(snapshot *Snapshot) []*fleetpb.Shards {
+// shardsToProto encodes whole assignments.
+func (n *Node) shardsToProto(assignments map[string]*shards.Assignment) []*fleetpb.Shards {
 	var out []*fleetpb.Shards
-	for service, a := range snapshot.Shards {
+	for service, a := range assignments {
 		document, err := a.Encode()
 		if err != nil {
 			n.Log.Error("control: assignment can't be encoded", zap.String("service", service), zap.Error(err))
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -6,11 +6,17 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
+	"github.com/cassiasill/cassiasill/internal/shards"
 )
 
+// recentAssignments is how many assignments of a service the leader remembers:
+// what is committed between two syncs of a host, with room.
+const recentAssignments = 48
+
 // Sync serves fleetpbconnect.FleetServiceHandler.
 func (n *Node) Sync(ctx context.Context, r *connect.Request[fleetpb.SyncRequest]) (*connect.Response[fleetpb.SyncResponse], error) {
 	known := r.Msg.Known
@@ -86,7 +92,8 @@
 	now := l.node.Clock()
 	snapshot, versions := l.describe(l.node.view.Load())
 	if known.Term != l.term {
-		known = &fleetpb.Known{}
+		// Versions of assignments are the same in all terms.
+		known = &fleetpb.Known{Assignments: known.Assignments}
 	}
 	out := &fleetpb.SyncResponse{Leader: true, Term: l.term, Known: versions, Hosts: uint32(snapshot.Hosts), Dispatchers: snapshot.Dispatchers, Peers: l.peerAddresses(), LargestCapacity: l.node.largestHost(), SuccessorWanted: l.wantsSuccessor(),
 		ConfigAgeMillis: now.Sub(snapshot.ConfigAt).Milliseconds(), ServersAgeMillis: now.Sub(snapshot.ServersAt).Milliseconds()}
@@ -102,7 +109,7 @@
 	}
 	if versions.Shards != known.Shards {
 		news = true
-		out.Shards = l.node.shardsToProto(snapshot)
+		out.Shards = l.shardsSince(snapshot, known.Assignments)
 	}
 	if versions.Blocked != known.Blocked {
 		out.HasBlocked, news = true, true
@@ -113,6 +120,54 @@
 	return out, news
 }
 
+// shardsSince encodes what a host that has the given versions lacks: the changes
+// of an assignment, if the version that it has is remembered.
+func (l *leadership) shardsSince(snapshot *Snapshot, have map[string]int64) []*fleetpb.Shards {
+	var out []*fleetpb.Shards
+	whole := make(map[string]*shards.Assignment)
+	for service, a := range snapshot.Shards {
+		version, has := have[service]
+		if has && version >= a.Version {
+			continue
+		}
+		base := l.remembered(service, version)
+		if base == nil {
+			whole[service] = a
+			continue
+		}
+		document, err := a.ChangesSince(base)
+		if err != nil {
+			l.node.Log.Error("control: changes can't be encoded", zap.String("service", service), zap.Error(err))
+			continue
+		}
+		out = append(out, &fleetpb.Shards{Service: service, Document: document, Revision: a.Revision, ChangesOnly: true})
+	}
+	return append(out, l.node.shardsToProto(whole)...)
+}
+
+// remembered returns an assignment that was described lately.
+func (l *leadership) remembered(service string, version int64) *shards.Assignment {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.recent[service] {
+		if a.Version == version {
+			return a
+		}
+	}
+	return nil
+}
+
+// remember keeps the last assignments of a snapshot, as the base of changes.
+func (l *leadership) remember(s *Snapshot) {
+	for service, a := range s.Shards {
+		recent := l.recent[service]
+		if n := len(recent); n > 0 && recent[n-1] == a {
+			continue
+		}
+		l.recent[service] = append(recent[max(0, len(recent)-recentAssignments+1):], a)
+	}
+}
+
 func (l *leadership) wantsSuccessor() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -153,6 +208,7 @@
 		}
 		if !sameShards(s, old) {
 			l.versions.Shards++
+			l.remember(s)
 		}
 		if s.Hosts != old.Hosts || !maps.Equal(s.Dispatchers, old.Dispatchers) {
 			l.versions.Placement++
--- /dev/null
+++ b/internal/shards/changes_test.go
@@ -0,0 +1,69 @@
+package shards
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a host whose assignment differs from the leader's, and against
+// changes as large as the assignment: aserrin-gw-grown sent 180 ranges to 59
+// hosts several times a second.
+func TestChangesGiveTheSameAssignment(t *testing.T) {
+	candidates := servers(20)
+	rapid.Check(t, func(t *rapid.T) {
+		base := Initial(candidates)
+		for i := range rapid.IntRange(0, 30).Draw(t, "steps") {
+			base = step(t, base, i)
+		}
+		next := base
+		for i := range rapid.IntRange(1, 4).Draw(t, "changes") {
+			next = step(t, next, 100+i)
+		}
+		next.Revision = 77
+		data, err := next.ChangesSince(base)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := base.WithChanges(data, 77)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if fmt.Sprint(*got) != fmt.Sprint(*next) {
+			t.Fatalf("got %v, want %v", *got, *next)
+		}
+	})
+}
+
+// step releases a random piece, gives one to a new owner, or joins neighbors.
+func step(t *rapid.T, a *Assignment, i int) *Assignment {
+	next := a.Next()
+	from := rapid.Uint16Range(0, Positions-600).Draw(t, "from")
+	to := from + rapid.Uint16Range(0, 500).Draw(t, "width")
+	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	case 0:
+		next.Release([]Move{{From: from, To: to, Target: "a"}})
+	case 1:
+		next.Split(from, to)
+		next.Own(from, fmt.Sprintf("s%d", i%7), 1, "h")
+	default:
+		next.Compact(func(Range) bool { return true })
+	}
+	return next
+}
+
+// Guards against changes of another assignment that are taken for whole.
+func TestChangesOfAnotherBaseAreRefused(t *testing.T) {
+	base := Initial(servers(3))
+	next := base.Next()
+	next.Split(100, 200)
+	next.Own(100, "b", 2, "")
+	data, err := next.ChangesSince(base)
+	assert.NilError(t, err)
+	other := base.Next()
+	other.Split(50, 150)
+	_, err = other.WithChanges(data, 1)
+	assert.ErrorContains(t, err, "do not fit version 2")
+}
