Send server lists as changes, and let few hosts ask the store

Each new measurement of a server's speed was a new server list, sent whole (about 70 KB) to each of 195 hosts up to 2.5 times a second. Syncs then timed out, and every host turned to the store by itself: sixteen calls a listing, each 0.8 s. Assignments were compared and encoded once a host at each move.

Ruled out: the grants (500 renewals a second take little), the link of the leader alone (the small twin with the same rates per host stays calm).

Change: - The server list has a digest. A host names the digest that it has; the leader sends what differs from it, worked out once for all hosts (history). Changes that do not lead to the sender's digest are refused, and the whole is asked for. Hosts are told of speeds each 4 s. - Entries are followed by the store's events since the last look: one call where a listing takes fifteen. Another reader can go on from the leader's revision. A new leader lists once. - While the leader or the store is away, twelve relays, the largest hosts, read the store; the others ask them, and are sent only what they lack. A host that just started asks the seeds for 0.4 s first. - A host checks that the leader's key is still free before it stands. - Hosts that place nothing for others pause between syncs in proportion to the number of hosts, at most 250 ms.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -49,6 +49,23 @@
 	leads    bool
 }
 
+// maxRelays bounds the hosts that read the store themselves while the leader is
+// away. In a deployment of that many hosts all of them do.
+const maxRelays = 12
+
+// assignRelays names the largest hosts, in an order that does not depend on
+// that of the hosts.
+func assignRelays(hosts []dutyHost) []string {
+	slices.SortFunc(hosts, func(a, b dutyHost) int {
+		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(xxhash.Sum64String(a.address), xxhash.Sum64String(b.address)))
+	})
+	var out []string
+	for _, h := range hosts[:min(len(hosts), maxRelays)] {
+		out = append(out, h.address)
+	}
+	return out
+}
+
 // assignDispatchers names a host for each service by rendezvous hashing, so that
 // the loss of a host moves little but what it had. As long as there are enough
 // hosts, each places the requests of one service and the leader of none.
--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -11,7 +11,6 @@
 	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
-	"github.com/cassiasill/cassiasill/internal/shards"
 	"github.com/cassiasill/cassiasill/internal/store"
 )
 
@@ -63,7 +62,7 @@
 	}
 	l := &leadership{node: n, term: result.Revision, lease: lease, began: began, confirmed: began, lost: make(chan struct{}),
 		former: former, formerEnd: began, hosts: make(map[string]peerHost), loads: make(map[string]*loadMeter),
-		speeds: newSpeedMeter(), crashes: newCrashTable(), managers: make(map[string]*manager), recent: make(map[string][]*shards.Assignment), addresses: make(map[string]string), woken: make(chan struct{}, 1)}
+		speeds: newSpeedMeter(), crashes: newCrashTable(), managers: make(map[string]*manager), addresses: make(map[string]string), woken: make(chan struct{}, 1)}
 	n.mu.Lock()
 	n.leader = leaderRecord{Host: n.Host, Address: n.Address, Term: l.term}
 	n.term = max(n.term, l.term)
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -39,7 +41,12 @@
 		return false
 	}
 	n.readConfig(ctx)
-	return n.readServers(ctx, n.tracker)
+	// What another host has learned saves a listing, and keeps the speeds.
+	if snapshot := n.view.Load(); snapshot.Servers != nil && snapshot.ServersRevision > n.reader.revision {
+		n.reader.follow(snapshot.Servers, snapshot.ServersRevision, n.Schema.ServersPrefix)
+		n.tracker.Seed(snapshot.Servers)
+	}
+	return n.readServers(ctx)
 }
 
 // readConfig reads the configuration; it returns the store's revision, 0 after
@@ -71,29 +78,78 @@
 	n.view.setConfig(config, kv.Value, at)
 }
 
-// readServers reads all server entries into tracker and the view.
-func (n *Node) readServers(ctx context.Context, tracker *registry.Tracker) bool {
-	began := n.Clock()
-	items, _, err := n.Store.Range(ctx, n.Schema.ServersPrefix)
-	n.noteStore(err)
+// serverReader follows the server entries by what has changed in the store since
+// it last looked: one call, where a listing of a large deployment takes many.
+type serverReader struct {
+	entries map[string]registry.Server // by key
+	// revision is up to which entries has followed; 0 before a listing.
+	revision int64
+}
+
+// follow takes the list that another host has read up to a revision as its own.
+func (r *serverReader) follow(list *registry.List, revision int64, prefix string) {
+	r.entries, r.revision = make(map[string]registry.Server, len(list.Servers)), revision
+	for id, s := range list.Servers {
+		r.entries[prefix+id] = s
+	}
+}
+
+// take takes one entry. One that can't be decoded names no server.
+func (r *serverReader) take(n *Node, kv store.KeyValue) {
+	s, err := n.Schema.DecodeServer(kv)
 	if err != nil {
-		tracker.Failed(began)
-		return false
+		n.Log.Debug("control: server entry ignored", zap.Error(err))
+		delete(r.entries, kv.Key)
+		return
 	}
-	servers := make([]registry.Server, 0, len(items))
-	for _, kv := range items {
-		s, err := n.Schema.DecodeServer(kv)
-		if err != nil {
-			n.Log.Debug("control: server entry ignored", zap.Error(err))
-			continue
+	r.entries[kv.Key] = s
+}
+
+// read brings entries up to the present.
+func (r *serverReader) read(ctx context.Context, n *Node) error {
+	if r.revision > 0 {
+		batch, err := n.Store.Poll(ctx, n.Schema.ServersPrefix, r.revision, entriesWait)
+		if err == nil {
+			for _, event := range batch.Events {
+				if event.Deleted {
+					delete(r.entries, event.Key)
+					continue
+				}
+				r.take(n, event.KeyValue)
+			}
+			r.revision = max(r.revision, batch.Revision)
+			return nil
 		}
-		servers = append(servers, s)
+		var storeErr *store.Error
+		if !errors.As(err, &storeErr) || storeErr.Kind != store.KindCompacted {
+			return err
+		}
+		n.Log.Info("control: history of the server entries is gone, listing them", zap.Int64("revision", r.revision))
+		r.revision = 0
+	}
+	items, revision, err := n.Store.Range(ctx, n.Schema.ServersPrefix)
+	if err != nil {
+		return err
 	}
-	if !tracker.Observe(servers, began) {
-		n.view.setServers(nil, began)
-		return true
+	r.entries, r.revision = make(map[string]registry.Server, len(items)), revision
+	for _, kv := range items {
+		r.take(n, kv)
+	}
+	return nil
+}
+
+// readServers brings the view's server list up to the present. It returns true
+// if the store answered.
+func (n *Node) readServers(ctx context.Context) bool {
+	began := n.Clock()
+	err := n.reader.read(ctx, n)
+	n.noteStore(err)
+	if err != nil {
+		n.tracker.Failed(began)
+		return false
 	}
-	n.view.setServers(tracker.List(), began)
+	n.tracker.Observe(slices.Collect(maps.Values(n.reader.entries)), began)
+	n.view.setServers(n.tracker.List(), began, n.reader.revision)
 	return true
 }
 
@@ -119,21 +175,21 @@
 	}
 }
 
-func serversFromProto(list []*fleetpb.Server) *registry.List {
-	out := &registry.List{Servers: make(map[string]registry.Server, len(list))}
+func serversFromProto(list []*fleetpb.Server) []registry.Server {
+	out := make([]registry.Server, 0, len(list))
 	for _, s := range list {
-		out.Servers[s.Id] = registry.Server{ID: s.Id, Service: s.Service, Address: s.Address, AvailabilityZone: s.AvailabilityZone,
+		out = append(out, registry.Server{ID: s.Id, Service: s.Service, Address: s.Address, AvailabilityZone: s.AvailabilityZone,
 			Slots: int(s.Slots), Draining: s.Draining, Born: s.Born, Speed: s.Speed,
-			Warmup: time.Duration(s.WarmupSeconds * float64(time.Second))}
+			Warmup: time.Duration(s.WarmupNanos)})
 	}
 	return out
 }
 
-func serversToProto(list *registry.List) []*fleetpb.Server {
-	out := make([]*fleetpb.Server, 0, len(list.Servers))
-	for _, s := range list.Servers {
+func serversToProto(list []registry.Server) []*fleetpb.Server {
+	out := make([]*fleetpb.Server, 0, len(list))
+	for _, s := range list {
 		out = append(out, &fleetpb.Server{Id: s.ID, Service: s.Service, Address: s.Address, AvailabilityZone: s.AvailabilityZone,
-			Slots: uint32(s.Slots), Draining: s.Draining, Born: s.Born, Speed: s.Speed, WarmupSeconds: s.Warmup.Seconds()})
+			Slots: uint32(s.Slots), Draining: s.Draining, Born: s.Born, Speed: s.Speed, WarmupNanos: s.Warmup.Nanoseconds()})
 	}
 	return out
 }
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
+	"github.com/cassiasill/cassiasill/internal/registry"
 	"github.com/cassiasill/cassiasill/internal/shards"
 	"github.com/cassiasill/cassiasill/internal/store"
 )
@@ -29,24 +31,37 @@
 		if err == nil {
 			// A leader that does not reach the store can't lead: if its key is
 			// gone, this host stands for election.
-			if n.Clock().Sub(n.view.Load().ServersAt) > staleAfter && n.readEntries(ctx) {
-				n.findLeader(ctx)
-			}
-			if n.maySucceed() {
+			switch stale := n.Clock().Sub(n.view.Load().ServersAt) > staleAfter; {
+			case stale && n.isRelay():
+				if n.readEntries(ctx) {
+					n.findLeader(ctx)
+				}
+			case stale:
+				n.askPeers(ctx)
+			case n.maySucceed():
 				n.readEntries(ctx)
 			}
-			n.pause(ctx, syncGap)
+			n.pause(ctx, n.syncPause())
 			return
 		}
 		n.mu.Lock()
-		n.unreachable = leader.Term
+		n.unreachable, n.lostAt = leader.Term, n.Clock()
 		n.mu.Unlock()
 		if ctx.Err() == nil {
 			n.logLost(leader, err)
 		}
 	}
-	if !n.findLeader(ctx) {
+	if n.mayAskStore() {
+		if !n.findLeader(ctx) {
+			n.askPeers(ctx)
+		}
+	} else {
 		n.askPeers(ctx)
+		if n.knowsLeader() {
+			return
+		}
+		n.pause(ctx, peerPause)
+		return
 	}
 	if n.currentLeadership() != nil {
 		return
@@ -85,7 +100,7 @@
 	if request.Known == nil || request.Known.Term != leader.Term {
 		request.Known = &fleetpb.Known{Term: leader.Term}
 	}
-	request.Known = n.withAssignments(request.Known)
+	request.Known = n.withVersions(request.Known)
 	n.Reports.take(request)
 	client := fleetpbconnect.NewFleetServiceClient(n.Peers, "http://"+leader.Address)
 	sentAt := n.Clock()
@@ -100,16 +115,68 @@
 	return nil
 }
 
-// withAssignments adds the versions of the assignments that this host has.
-func (n *Node) withAssignments(known *fleetpb.Known) *fleetpb.Known {
-	out := &fleetpb.Known{Term: known.Term, Config: known.Config, Servers: known.Servers, Shards: known.Shards, Blocked: known.Blocked,
-		Placement: known.Placement, Assignments: make(map[string]int64)}
-	for service, a := range n.view.Load().Shards {
-		out.Assignments[service] = a.Version
+// withVersions adds the versions of what this host has, from whatever source.
+func (n *Node) withVersions(known *fleetpb.Known) *fleetpb.Known {
+	out := &fleetpb.Known{Term: known.Term, Blocked: known.Blocked, Placement: known.Placement, Assignments: make(map[string]int64)}
+	snapshot := n.view.Load()
+	if snapshot.Config != nil {
+		out.Config = snapshot.Config.Revision
+	}
+	n.mu.Lock()
+	whole := n.wantsWhole
+	n.mu.Unlock()
+	if snapshot.Servers != nil && !whole {
+		out.Servers = snapshot.Servers.Digest
+	}
+	for service, a := range snapshot.Shards {
+		if !whole {
+			out.Assignments[service] = a.Version
+		}
 	}
 	return out
 }
 
+// isRelay reports whether this host is among those that read the store while
+// the leader is away. A host that knows no relays is.
+func (n *Node) isRelay() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.peers) == 0 || slices.Contains(n.peers, n.Address)
+}
+
+// mayAskStore reports whether this host looks for a leader in the store. The
+// relays do at once; the others ask them first, since all hosts together would
+// load the store in proportion to their number. A host that has just started
+// knows the seeds only.
+func (n *Node) mayAskStore() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.peers) == 0 {
+		return len(n.Seeds) == 0 || slices.Contains(n.Seeds, n.Address) || n.Clock().Sub(n.startedAt) > seedPatience
+	}
+	return slices.Contains(n.peers, n.Address) || n.Clock().Sub(n.lostAt) > relayPatience
+}
+
+// knowsLeader reports whether a leader is known that was not found silent.
+func (n *Node) knowsLeader() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leader.Address != "" && n.leader.Term != n.unreachable
+}
+
+// syncPause lets news gather between two syncs. The more hosts there are, the
+// longer it is, because the leader answers all of them. A host that places
+// requests for others must know new owners at once.
+func (n *Node) syncPause() time.Duration {
+	snapshot := n.view.Load()
+	for _, address := range snapshot.Dispatchers {
+		if address == n.DispatchAddress {
+			return syncGap
+		}
+	}
+	return min(max(syncGap, time.Duration(snapshot.Hosts)*syncGapPerHost), maxSyncGap)
+}
+
 // decodeShards decodes an assignment, or the changes since the one that this
 // host has.
 func decodeShards(s *fleetpb.Shards, have *shards.Assignment) (*shards.Assignment, error) {
@@ -127,9 +194,6 @@
 // sending of the request they are too long by at most the time it took, which
 // errs on the safe side.
 func (n *Node) apply(m *fleetpb.SyncResponse, sentAt boottime.Instant) {
-	n.mu.Lock()
-	n.known = m.Known
-	n.mu.Unlock()
 	n.view.setTerm(m.Term)
 	configAt := sentAt.Add(-time.Duration(m.ConfigAgeMillis) * time.Millisecond)
 	if len(m.Config) > 0 {
@@ -142,19 +206,12 @@
 	} else {
 		n.view.setConfig(nil, nil, configAt)
 	}
-	serversAt := sentAt.Add(-time.Duration(m.ServersAgeMillis) * time.Millisecond)
-	if m.HasServers {
-		n.view.setServers(serversFromProto(m.Servers), serversAt)
-	} else {
-		n.view.setServers(nil, serversAt)
-	}
+	whole := !n.applyServers(m, sentAt.Add(-time.Duration(m.ServersAgeMillis)*time.Millisecond))
 	for _, s := range m.Shards {
 		a, err := decodeShards(s, n.view.Load().Shards[s.Service])
 		if err != nil {
 			n.Log.Warn("control: leader's assignment refused", zap.String("service", s.Service), zap.Error(err))
-			n.mu.Lock()
-			n.known.Shards = 0 // asks for it again
-			n.mu.Unlock()
+			whole = true
 			continue
 		}
 		n.view.setShards(s.Service, a)
@@ -169,15 +226,36 @@
 	n.view.setHosts(int(m.Hosts), m.Dispatchers)
 	n.noteLargest(m.LargestCapacity)
 	n.mu.Lock()
-	n.successorWanted = m.SuccessorWanted
-	n.mu.Unlock()
+	defer n.mu.Unlock()
+	n.wantsWhole = whole
+	if m.Leader {
+		n.known, n.successorWanted = m.Known, m.SuccessorWanted
+	}
 	if len(m.Peers) > 0 {
-		n.mu.Lock()
 		n.peers = m.Peers
-		n.mu.Unlock()
 	}
 }
 
+// applyServers takes a server list, or what has changed in it. It returns false
+// if the changes don't lead to the sender's list.
+func (n *Node) applyServers(m *fleetpb.SyncResponse, at boottime.Instant) bool {
+	if !m.HasServers {
+		n.view.confirmServers(at, m.ServersRevision)
+		return true
+	}
+	base := &registry.List{}
+	if have := n.view.Load().Servers; m.ServerChangesOnly && have != nil {
+		base = have
+	}
+	list := base.WithChanges(serversFromProto(m.Servers), m.RemovedServers)
+	if list.Digest != m.Known.Servers {
+		n.Log.Warn("control: leader's server list refused, its changes do not fit", zap.Int("changed", len(m.Servers)), zap.Int("removed", len(m.RemovedServers)))
+		return false
+	}
+	n.view.setServers(list, at, m.ServersRevision)
+	return true
+}
+
 // findLeader reads the hosts' own keys. If there is no leader, it tries to
 // become it. It returns false if the store did not answer.
 func (n *Node) findLeader(ctx context.Context) bool {
@@ -213,7 +291,10 @@
 	switch {
 	case found.Key == "" && !retired:
 		n.pause(ctx, time.Duration(rand.Float64()*float64(electionJitter))+electionDelay(n.Capacity, n.largestHost()))
-		n.stand(ctx, 0, former)
+		// Standing takes three calls; meanwhile another host may lead.
+		if _, taken, _, err := n.Store.Get(ctx, leaderKey); err == nil && !taken {
+			n.stand(ctx, 0, former)
+		}
 	case current.Host == n.Host && !retired:
 		// The key is from an earlier process on this host, which has ended.
 		n.stand(ctx, found.ModRevision, former)
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -20,6 +20,9 @@
 // Timing of the leader's work.
 const (
 	serversInterval = 400 * time.Millisecond
+	// speedInterval is the pace at which hosts are told of measured speeds. Those
+	// who place requests measure them too, and use what they are told at first.
+	speedInterval = 4 * time.Second
 	// configWait is how long one call waits for a change of the configuration.
 	// A watch can fall silent, so it is short.
 	configWait = 900 * time.Millisecond
@@ -45,7 +48,8 @@
 	mu        sync.Mutex
 	reason    string // why it was lost
 	confirmed boottime.Instant
-	former    []leaderRecord // may still be renewing grants
+	spedAt    boottime.Instant // when hosts were last told of speeds
+	former    []leaderRecord   // may still be renewing grants
 	// formerEnd is when the last former leader was known to have stopped.
 	formerEnd boottime.Instant
 	hosts     map[string]peerHost
@@ -54,14 +58,13 @@
 	// successorWanted asks larger hosts to find out whether they reach the
 	// store.
 	successorWanted bool
-	versions        fleetpb.Known
-	seen            *Snapshot // that versions describe
-	// recent holds the last assignments by service, the newest last.
-	recent    map[string][]*shards.Assignment
-	loads     map[string]*loadMeter
-	speeds    *speedMeter
-	crashes   *crashTable
-	addresses map[string]string // last known, also of servers that are gone
+	numbers         numbers
+	seen            *Snapshot // that numbers belong to
+	relays          []string  // addresses
+	loads           map[string]*loadMeter
+	speeds          *speedMeter
+	crashes         *crashTable
+	addresses       map[string]string // last known, also of servers that are gone
 
 	managers map[string]*manager // belongs to tick
 	group    conc.WaitGroup
@@ -118,6 +121,9 @@
 	if servers := n.view.Load().Servers; servers != nil {
 		n.tracker.Seed(servers)
 	}
+	// Only a listing tells which servers of another reader's list are gone: that
+	// reader may have kept some after an outage.
+	n.reader = serverReader{}
 	group := &l.group
 	group.Go(func() { l.keepLease(ctx) })
 	group.Go(func() { l.every(ctx, serversInterval, func() { l.readServers(ctx) }) })
@@ -206,6 +212,13 @@
 	return meter.load(now)
 }
 
+// knownSpeeds returns the measured speeds by server.
+func (l *leadership) knownSpeeds() map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.speeds.all()
+}
+
 func (l *leadership) every(ctx context.Context, interval time.Duration, work func()) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -243,13 +256,12 @@
 
 func (l *leadership) readServers(ctx context.Context) {
 	n := l.node
-	changed := false
 	now := n.Clock()
 	l.mu.Lock()
-	for id := range l.speeds.sums {
-		if speed, ok := l.speeds.speed(id); ok {
-			changed = n.tracker.SetSpeed(id, speed) || changed
-		}
+	speeds := make(map[string]float64)
+	if now.Sub(l.spedAt) >= speedInterval {
+		l.spedAt = now
+		speeds = l.speeds.all()
 	}
 	hosts := 1
 	for host, peer := range l.hosts {
@@ -260,6 +272,7 @@
 		hosts++
 	}
 	dispatchers := l.chooseDispatchers(now)
+	l.chooseRelays()
 	succession := l.succession(now)
 	l.successorWanted = succession.wanted
 	n.tracker.Reached(l.storeReached)
@@ -270,10 +283,10 @@
 	}
 	n.view.setHosts(hosts, dispatchers)
 	n.noteLargest(succession.largest)
-	n.readServers(ctx, n.tracker)
-	if changed {
-		n.view.setServers(n.tracker.List(), n.view.Load().ServersAt)
+	for id, speed := range speeds {
+		n.tracker.SetSpeed(id, speed)
 	}
+	n.readServers(ctx)
 }
 
 // chooseDispatchers names a live host for each service.
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -108,6 +108,7 @@
 // candidates returns the servers that may get ranges, in a fixed order.
 func (m *manager) candidates(servers map[string]registry.Server) []shards.Candidate {
 	var out []shards.Candidate
+	speeds := m.l.knownSpeeds()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, id := range slices.Sorted(maps.Keys(servers)) {
@@ -115,7 +116,10 @@
 		if h := m.holders[id]; s.Draining || h != nil && h.born == s.Born && h.failingSince != 0 {
 			continue
 		}
-		speed := s.Speed
+		speed, measured := speeds[id]
+		if !measured {
+			speed = s.Speed
+		}
 		if speed == 0 {
 			speed = newServerSpeed
 			if s.Warmup > 0 {
--- a/internal/control/meter.go
+++ b/internal/control/meter.go
@@ -77,6 +77,17 @@
 	s.at = now
 }
 
+// all returns the speeds that are known.
+func (m *speedMeter) all() map[string]float64 {
+	out := make(map[string]float64, len(m.sums))
+	for id := range m.sums {
+		if speed, ok := m.speed(id); ok {
+			out[id] = speed
+		}
+	}
+	return out
+}
+
 // speed returns a server's speed; ok is false while too little was observed.
 func (m *speedMeter) speed(server string) (speed float64, ok bool) {
 	s := m.sums[server]
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -20,13 +20,26 @@
 	syncWait = 500 * time.Millisecond
 	// syncTimeout is longer than syncWait by what a busy leader may take.
 	syncTimeout = syncWait + 500*time.Millisecond
-	// syncGap lets news gather between two syncs.
-	syncGap = 10 * time.Millisecond
+	// syncGap lets news gather between two syncs; it grows by syncGapPerHost up
+	// to maxSyncGap.
+	syncGap        = 10 * time.Millisecond
+	syncGapPerHost = time.Millisecond
+	maxSyncGap     = 250 * time.Millisecond
 	// staleAfter is the age of the server list from which a host reads the
 	// store itself.
 	staleAfter = 1100 * time.Millisecond
 	// readInterval is the shortest time between such readings.
 	readInterval = 800 * time.Millisecond
+	// entriesWait is how long the store may wait for a change of an entry. Each
+	// server changes its own about once a second.
+	entriesWait = 100 * time.Millisecond
+	// relayPatience is how long a host that lost the leader asks the relays for
+	// another before it looks for one in the store. An election takes LeaseTTL.
+	relayPatience = 4 * time.Second
+	// seedPatience is how long a host that has just started asks the seeds.
+	seedPatience = 400 * time.Millisecond
+	// peerPause follows questions to relays and seeds that named no leader.
+	peerPause = 150 * time.Millisecond
 	// electionJitter spreads the tries to become leader.
 	electionJitter = 120 * time.Millisecond
 	// retryPause follows a failed call to the store.
@@ -61,23 +74,31 @@
 // Node is one host's part in the control of the deployment.
 type Node struct {
 	Options
-	view   *View
-	timing timing
+	view    *View
+	timing  timing
+	history *history
+	// tracker and reader belong to the goroutine that follows or reads for the
+	// leadership.
+	tracker *registry.Tracker
+	reader  serverReader
 
 	mu      sync.Mutex
 	leading *leadership
 	leader  leaderRecord
 	term    int64
-	// unreachable is the term of a leader that did not answer.
+	// unreachable is the term of a leader that did not answer, since lostAt.
 	unreachable int64
-	known       *fleetpb.Known
-	readAt      boottime.Instant
-	tracker     *registry.Tracker
-	storeUp     bool
-	storeAt     boottime.Instant // of the last call that succeeded
-	retired     bool
-	peers       []string // that the leader named
-	largest     float64  // capacity of the largest live host; 0 if unknown
+	lostAt      boottime.Instant
+	startedAt   boottime.Instant
+	known       *fleetpb.Known // numbers of the leader's term
+	// wantsWhole is true if changes did not fit what this host has.
+	wantsWhole bool
+	readAt     boottime.Instant
+	storeUp    bool
+	storeAt    boottime.Instant // of the last call that succeeded
+	retired    bool
+	peers      []string // the relays that the leader named
+	largest    float64  // capacity of the largest live host; 0 if unknown
 	// successorWanted is true if the leader gives way to a larger host.
 	successorWanted bool
 }
@@ -104,8 +125,8 @@
 // NewNode returns a Node with an empty View.
 func NewNode(options Options) *Node {
 	options.Log = options.Log.Named("control")
-	return &Node{Options: options, view: NewView(), timing: timing{outageAuthority: outageAuthority, formerWait: outageAuthority, grantExpiry: grantExpiry},
-		tracker: registry.NewTracker(), storeUp: true}
+	return &Node{Options: options, view: NewView(), history: newHistory(), tracker: registry.NewTracker(), storeUp: true, startedAt: options.Clock(),
+		timing: timing{outageAuthority: outageAuthority, formerWait: outageAuthority, grantExpiry: grantExpiry}}
 }
 
 // View returns what the host knows.
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -11,7 +11,6 @@
 
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
-	"github.com/cassiasill/cassiasill/internal/shards"
 )
 
 // Settings of the questions to hosts that do not lead.
@@ -19,85 +18,78 @@
 	// relayTimeout bounds one question.
 	relayTimeout = 250 * time.Millisecond
 	// relayPeers is how many hosts are asked at a time.
-	relayPeers = 4
-	// maxPeers bounds the hosts that the leader names to others.
-	maxPeers = 8
+	relayPeers = 2
 )
 
-// askPeers asks other hosts for the leader and for what they know. It is the
-// last resort of a host that reaches neither the leader nor the store.
+// askPeers asks some relays for the leader and for what they know, and a seed if
+// none of them answers.
 func (n *Node) askPeers(ctx context.Context) {
 	n.mu.Lock()
-	peers := slices.Concat(n.Seeds, n.peers)
+	relays, seeds := slices.Clone(n.peers), slices.Clone(n.Seeds)
 	n.mu.Unlock()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	asked := 0
-	for _, address := range peers {
-		if address == n.Address || asked == relayPeers {
+	if !n.askSome(ctx, relays, relayPeers) {
+		n.askSome(ctx, seeds, relayPeers)
+	}
+}
+
+// askSome asks a number of the hosts and reports whether one has answered.
+func (n *Node) askSome(ctx context.Context, addresses []string, number int) bool {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	answered := false
+	for _, address := range addresses {
+		if address == n.Address {
 			continue
 		}
-		asked++
-		n.askPeer(ctx, address)
+		if number == 0 {
+			break
+		}
+		number--
+		answered = n.askPeer(ctx, address) || answered
 	}
+	return answered
 }
 
-func (n *Node) askPeer(ctx context.Context, address string) {
+func (n *Node) askPeer(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	client := fleetpbconnect.NewFleetServiceClient(n.Peers, "http://"+address)
 	sentAt := n.Clock()
-	response, err := client.Sync(ctx, connect.NewRequest(&fleetpb.SyncRequest{Relay: true}))
+	response, err := client.Sync(ctx, connect.NewRequest(&fleetpb.SyncRequest{Relay: true, Known: n.withVersions(&fleetpb.Known{})}))
 	if err != nil {
 		n.Log.Debug("control: peer does not answer", zap.String("peer", address), zap.Error(err))
-		return
+		return false
 	}
 	m := response.Msg
 	if m.Known != nil {
 		n.apply(m, sentAt)
-		n.Log.Info("control: state learned from a peer", zap.String("peer", address), zap.Int64("config", m.Known.Config),
+		n.Log.Debug("control: state learned from a peer", zap.String("peer", address), zap.Int64("config", m.Known.Config),
 			zap.Int64("config_age_ms", m.ConfigAgeMillis), zap.Int64("servers_age_ms", m.ServersAgeMillis))
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.known = nil // versions of a relay mean nothing to the leader
-	if m.LeaderAddress == "" || m.Term < n.term || m.Term == n.unreachable {
-		return
+	if m.LeaderAddress != "" && m.Term >= n.term && m.Term != n.unreachable {
+		n.leader = leaderRecord{Host: m.LeaderHost, Address: m.LeaderAddress, Term: m.Term}
+		n.term = m.Term
 	}
-	n.leader = leaderRecord{Host: m.LeaderHost, Address: m.LeaderAddress, Term: m.Term}
-	n.term = m.Term
+	return true
 }
 
-// relay answers a host that found no leader with all that this host knows.
-func (n *Node) relay() *fleetpb.SyncResponse {
+// relay answers a host that found no leader with what this host knows beyond.
+func (n *Node) relay(known *fleetpb.Known) *fleetpb.SyncResponse {
 	snapshot := n.view.Load()
-	n.mu.Lock()
-	out := &fleetpb.SyncResponse{Term: n.leader.Term, LeaderHost: n.leader.Host, LeaderAddress: n.leader.Address, Peers: n.peers}
-	n.mu.Unlock()
 	if snapshot.Config == nil {
-		return out
+		snapshot = &Snapshot{}
 	}
-	now := n.Clock()
-	out.Known = &fleetpb.Known{Config: snapshot.Config.Revision}
-	out.Config, out.ConfigAgeMillis = snapshot.ConfigRaw, now.Sub(snapshot.ConfigAt).Milliseconds()
-	out.Hosts, out.Dispatchers = uint32(snapshot.Hosts), snapshot.Dispatchers
-	if snapshot.Servers != nil {
-		out.Servers, out.HasServers = serversToProto(snapshot.Servers), true
-		out.ServersAgeMillis = now.Sub(snapshot.ServersAt).Milliseconds()
+	out, _ := n.newsSince(snapshot, known)
+	if snapshot.Config == nil {
+		out.Known = nil
 	}
-	out.Shards = n.shardsToProto(snapshot.Shards)
-	return out
-}
-
-// shardsToProto encodes whole assignments.
-func (n *Node) shardsToProto(assignments map[string]*shards.Assignment) []*fleetpb.Shards {
-	var out []*fleetpb.Shards
-	for service, a := range assignments {
-		document, err := a.Encode()
-		if err != nil {
-			n.Log.Error("control: assignment can't be encoded", zap.String("service", service), zap.Error(err))
-			continue
-		}
-		out = append(out, &fleetpb.Shards{Service: service, Document: document, Revision: a.Revision})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out.LargestCapacity, out.Peers = n.largest, n.peers
+	// A leader that does not answer this host either is no help.
+	if n.leader.Term != n.unreachable {
+		out.Term, out.LeaderHost, out.LeaderAddress = n.leader.Term, n.leader.Host, n.leader.Address
 	}
 	return out
 }
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -10,13 +10,8 @@
 
 	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
-	"github.com/cassiasill/cassiasill/internal/shards"
 )
 
-// recentAssignments is how many assignments of a service the leader remembers:
-// what is committed between two syncs of a host, with room.
-const recentAssignments = 48
-
 // Sync serves fleetpbconnect.FleetServiceHandler.
 func (n *Node) Sync(ctx context.Context, r *connect.Request[fleetpb.SyncRequest]) (*connect.Response[fleetpb.SyncResponse], error) {
 	known := r.Msg.Known
@@ -28,7 +23,7 @@
 		l.lose("another host leads a later term")
 	}
 	if r.Msg.Relay {
-		return connect.NewResponse(n.relay()), nil
+		return connect.NewResponse(n.relay(known)), nil
 	}
 	if l == nil || l.isLost() {
 		return connect.NewResponse(&fleetpb.SyncResponse{}), nil
@@ -87,31 +82,19 @@
 }
 
 // news returns the answer to a host that knows the given versions, and whether
-// it holds anything new. Versions of another term say nothing.
+// it holds anything new. Numbers of another term say nothing; the configuration,
+// the server list and the assignments are the same in all terms.
 func (l *leadership) news(known *fleetpb.Known) (*fleetpb.SyncResponse, bool) {
-	now := l.node.Clock()
-	snapshot, versions := l.describe(l.node.view.Load())
-	if known.Term != l.term {
-		// Versions of assignments are the same in all terms.
-		known = &fleetpb.Known{Assignments: known.Assignments}
-	}
-	out := &fleetpb.SyncResponse{Leader: true, Term: l.term, Known: versions, Hosts: uint32(snapshot.Hosts), Dispatchers: snapshot.Dispatchers, Peers: l.peerAddresses(), LargestCapacity: l.node.largestHost(), SuccessorWanted: l.wantsSuccessor(),
-		ConfigAgeMillis: now.Sub(snapshot.ConfigAt).Milliseconds(), ServersAgeMillis: now.Sub(snapshot.ServersAt).Milliseconds()}
-	news := false
-	if versions.Placement != known.Placement {
+	snapshot, numbers := l.describe(l.node.view.Load())
+	out, news := l.node.newsSince(snapshot, known)
+	out.Leader, out.Term = true, l.term
+	out.Known.Term, out.Known.Placement, out.Known.Blocked = l.term, numbers.Placement, numbers.Blocked
+	out.Peers, out.LargestCapacity, out.SuccessorWanted = l.relayAddresses(), l.node.largestHost(), l.wantsSuccessor()
+	sameTerm := known.Term == l.term
+	if !sameTerm || numbers.Placement != known.Placement {
 		news = true
 	}
-	if versions.Config != known.Config {
-		out.Config, news = snapshot.ConfigRaw, true
-	}
-	if versions.Servers != known.Servers && snapshot.Servers != nil {
-		out.Servers, out.HasServers, news = serversToProto(snapshot.Servers), true, true
-	}
-	if versions.Shards != known.Shards {
-		news = true
-		out.Shards = l.shardsSince(snapshot, known.Assignments)
-	}
-	if versions.Blocked != known.Blocked {
+	if !sameTerm || numbers.Blocked != known.Blocked {
 		out.HasBlocked, news = true, true
 		for f := range snapshot.Blocked {
 			out.Blocked = append(out.Blocked, []byte(f))
@@ -120,52 +103,41 @@
 	return out, news
 }
 
-// shardsSince encodes what a host that has the given versions lacks: the changes
-// of an assignment, if the version that it has is remembered.
-func (l *leadership) shardsSince(snapshot *Snapshot, have map[string]int64) []*fleetpb.Shards {
-	var out []*fleetpb.Shards
-	whole := make(map[string]*shards.Assignment)
-	for service, a := range snapshot.Shards {
-		version, has := have[service]
-		if has && version >= a.Version {
-			continue
-		}
-		base := l.remembered(service, version)
-		if base == nil {
-			whole[service] = a
-			continue
-		}
-		document, err := a.ChangesSince(base)
-		if err != nil {
-			l.node.Log.Error("control: changes can't be encoded", zap.String("service", service), zap.Error(err))
-			continue
+// newsSince returns the parts of a snapshot that a host with the given versions
+// lacks, and whether there are any.
+func (n *Node) newsSince(snapshot *Snapshot, known *fleetpb.Known) (*fleetpb.SyncResponse, bool) {
+	now := n.Clock()
+	out := &fleetpb.SyncResponse{Known: &fleetpb.Known{}, Hosts: uint32(snapshot.Hosts), Dispatchers: snapshot.Dispatchers,
+		ConfigAgeMillis: now.Sub(snapshot.ConfigAt).Milliseconds(), ServersAgeMillis: now.Sub(snapshot.ServersAt).Milliseconds(),
+		ServersRevision: snapshot.ServersRevision}
+	news := false
+	if snapshot.Config != nil {
+		out.Known.Config = snapshot.Config.Revision
+		if known.Config < snapshot.Config.Revision {
+			out.Config, news = snapshot.ConfigRaw, true
 		}
-		out = append(out, &fleetpb.Shards{Service: service, Document: document, Revision: a.Revision, ChangesOnly: true})
 	}
-	return append(out, l.node.shardsToProto(whole)...)
-}
-
-// remembered returns an assignment that was described lately.
-func (l *leadership) remembered(service string, version int64) *shards.Assignment {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, a := range l.recent[service] {
-		if a.Version == version {
-			return a
+	if snapshot.Servers != nil {
+		out.Known.Servers = snapshot.Servers.Digest
+		if known.Servers != snapshot.Servers.Digest {
+			list := n.history.servers(snapshot.Servers, known.Servers)
+			out.Servers, out.RemovedServers, out.ServerChangesOnly = list.servers, list.removed, list.changesOnly
+			out.HasServers, news = true, true
 		}
 	}
-	return nil
-}
-
-// remember keeps the last assignments of a snapshot, as the base of changes.
-func (l *leadership) remember(s *Snapshot) {
-	for service, a := range s.Shards {
-		recent := l.recent[service]
-		if n := len(recent); n > 0 && recent[n-1] == a {
+	for service, a := range snapshot.Shards {
+		base := known.Assignments[service]
+		if base >= a.Version {
 			continue
 		}
-		l.recent[service] = append(recent[max(0, len(recent)-recentAssignments+1):], a)
+		document, err := n.history.shards(service, a, base)
+		if err != nil {
+			n.Log.Error("control: assignment can't be encoded", zap.String("service", service), zap.Error(err))
+			continue
+		}
+		out.Shards, news = append(out.Shards, document), true
 	}
+	return out, news
 }
 
 func (l *leadership) wantsSuccessor() bool {
@@ -174,62 +146,48 @@
 	return l.successorWanted
 }
 
-// peerAddresses returns addresses of some live hosts.
-func (l *leadership) peerAddresses() []string {
+// relayAddresses returns the addresses of the hosts that read the store
+// themselves while the leader is away: the largest ones, as far as needed.
+func (l *leadership) relayAddresses() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []string
+	return l.relays
+}
+
+// chooseRelays names the relays among the live hosts.
+func (l *leadership) chooseRelays() {
+	candidates := make([]dutyHost, 0, len(l.hosts))
 	for _, peer := range l.hosts {
-		if peer.address != "" && len(out) < maxPeers {
-			out = append(out, peer.address)
+		if peer.address != "" {
+			candidates = append(candidates, dutyHost{address: peer.address, capacity: peer.capacity})
 		}
 	}
-	return out
+	l.relays = assignRelays(candidates)
 }
 
-// describe numbers the parts of a snapshot. A part gets a new number when it is
-// replaced. It returns the snapshot that the numbers belong to, which is a newer
-// one if that was described before.
-func (l *leadership) describe(s *Snapshot) (*Snapshot, *fleetpb.Known) {
+// describe numbers the parts of a snapshot that have no version of their own. A
+// part gets a new number when it is replaced. It returns the snapshot that the
+// numbers belong to, which is a newer one if that was described before.
+func (l *leadership) describe(s *Snapshot) (*Snapshot, numbers) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	old := l.seen
 	if old == nil {
 		old = &Snapshot{}
-		l.versions = fleetpb.Known{Term: l.term, Servers: 1, Shards: 1, Blocked: 1, Placement: 1}
+		l.numbers = numbers{Placement: 1, Blocked: 1}
 	}
 	// A snapshot that was loaded before one already described is older.
 	if s.Generation >= old.Generation {
-		if s.Config != nil {
-			l.versions.Config = s.Config.Revision
-		}
-		if s.Servers != old.Servers {
-			l.versions.Servers++
-		}
-		if !sameShards(s, old) {
-			l.versions.Shards++
-			l.remember(s)
-		}
 		if s.Hosts != old.Hosts || !maps.Equal(s.Dispatchers, old.Dispatchers) {
-			l.versions.Placement++
+			l.numbers.Placement++
 		}
 		if len(s.Blocked) != len(old.Blocked) {
-			l.versions.Blocked++
+			l.numbers.Blocked++
 		}
 		l.seen = s
 	}
-	v := &l.versions
-	return l.seen, &fleetpb.Known{Term: v.Term, Config: v.Config, Servers: v.Servers, Shards: v.Shards, Blocked: v.Blocked, Placement: v.Placement}
+	return l.seen, l.numbers
 }
 
-func sameShards(a, b *Snapshot) bool {
-	if len(a.Shards) != len(b.Shards) {
-		return false
-	}
-	for service, assignment := range a.Shards {
-		if b.Shards[service] != assignment {
-			return false
-		}
-	}
-	return true
-}
+// numbers are the numbers of the parts of a snapshot in one term.
+type numbers struct{ Placement, Blocked uint64 }
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -27,6 +27,9 @@
 	// ConfigAt and ServersAt are when the store last confirmed them.
 	ConfigAt  boottime.Instant
 	ServersAt boottime.Instant
+	// ServersRevision is the store's revision up to which Servers has followed;
+	// 0 if unknown.
+	ServersRevision int64
 	// Term is the leader's term; Generation counts the changes of this view.
 	Term       int64
 	Generation uint64
@@ -120,36 +123,55 @@
 	})
 }
 
-// setServers takes a list that the store held at the given instant. A server
-// that was seen leaving stays so, whatever another reader has seen.
-func (v *View) setServers(list *registry.List, at boottime.Instant) {
+// confirmServers notes that the store still held the list at the given instant
+// and revision.
+func (v *View) confirmServers(at boottime.Instant, revision int64) {
+	v.update(func(next *Snapshot) bool {
+		next.ServersAt = max(next.ServersAt, at)
+		next.ServersRevision = max(next.ServersRevision, revision)
+		return false
+	})
+}
+
+// setServers takes a list that the store held at the given instant and revision,
+// unless a newer one is known. A server that was seen leaving stays so, whatever
+// another reader has seen.
+func (v *View) setServers(list *registry.List, at boottime.Instant, revision int64) {
 	v.update(func(next *Snapshot) bool {
-		if list == nil {
-			next.ServersAt = max(next.ServersAt, at)
-			return false
-		}
 		if at < next.ServersAt {
 			return false
 		}
-		next.ServersAt = at
-		merged := &registry.List{Version: list.Version, Servers: make(map[string]registry.Server, len(list.Servers))}
-		for id, s := range list.Servers {
-			if born, leaving := v.draining[id]; leaving && born == s.Born {
-				s.Draining = true
-			}
-			if s.Draining {
-				v.draining[id] = s.Born
-			}
-			merged.Servers[id] = s
-		}
-		if next.Servers != nil && maps.Equal(next.Servers.Servers, merged.Servers) {
+		next.ServersAt, next.ServersRevision = at, revision
+		list = v.keepLeaving(list)
+		if next.Servers != nil && next.Servers.Digest == list.Digest {
 			return false
 		}
-		next.Servers = merged
+		next.Servers = list
 		return true
 	})
 }
 
+// keepLeaving returns the list with every server that was seen leaving marked
+// so.
+func (v *View) keepLeaving(list *registry.List) *registry.List {
+	var forgotten []registry.Server
+	leaving := make(map[string]int64)
+	for id, s := range list.Servers {
+		if born, left := v.draining[id]; left && born == s.Born && !s.Draining {
+			s.Draining = true
+			forgotten = append(forgotten, s)
+		}
+		if s.Draining {
+			leaving[id] = s.Born
+		}
+	}
+	maps.Copy(v.draining, leaving)
+	if len(forgotten) == 0 {
+		return list
+	}
+	return list.WithChanges(forgotten, nil)
+}
+
 // setShards takes an assignment if it is newer.
 func (v *View) setShards(service string, a *shards.Assignment) {
 	v.update(func(next *Snapshot) bool {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -5,8 +5,13 @@
 package registry
 
 import (
+	"encoding/binary"
+	"maps"
+	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cassiasill/cassiasill/internal/boottime"
 )
 
@@ -38,8 +43,68 @@
 
 // List is an immutable list of servers.
 type List struct {
-	Version uint64
 	Servers map[string]Server
+	// Digest is the same for equal lists, whoever has made them; 0 is that of
+	// an empty list.
+	Digest uint64
+}
+
+// NewList returns a List of the servers, which must not change afterwards.
+func NewList(servers map[string]Server) *List {
+	list := &List{Servers: servers}
+	for _, s := range servers {
+		list.Digest += s.digest()
+	}
+	return list
+}
+
+// digest returns a hash of all fields.
+func (s Server) digest() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, text := range []string{s.ID, s.Service, s.Address, s.AvailabilityZone} {
+		_, _ = d.WriteString(text) // never fails
+		_, _ = d.Write([]byte{0})
+	}
+	draining := uint64(0)
+	if s.Draining {
+		draining = 1
+	}
+	for _, number := range []uint64{uint64(s.Slots), draining, uint64(s.Born), uint64(s.Warmup), math.Float64bits(s.Speed)} {
+		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, number))
+	}
+	return d.Sum64()
+}
+
+// ChangesSince returns the servers that are not in base as they are here, and
+// the IDs of those that only base has.
+func (l *List) ChangesSince(base *List) (changed []Server, removed []string) {
+	for id, s := range l.Servers {
+		if old, ok := base.Servers[id]; !ok || old != s {
+			changed = append(changed, s)
+		}
+	}
+	for id := range base.Servers {
+		if _, ok := l.Servers[id]; !ok {
+			removed = append(removed, id)
+		}
+	}
+	return changed, removed
+}
+
+// WithChanges returns the list that ChangesSince compared with l.
+func (l *List) WithChanges(changed []Server, removed []string) *List {
+	servers := maps.Clone(l.Servers)
+	if servers == nil {
+		servers = make(map[string]Server, len(changed))
+	}
+	for _, s := range changed {
+		servers[s.ID] = s
+	}
+	for _, id := range removed {
+		delete(servers, id)
+	}
+	return NewList(servers)
 }
 
 // Tracker turns readings of all entries into lists.
@@ -47,7 +112,6 @@
 	servers  map[string]Server
 	failing  boottime.Instant // since when readings fail; 0 if they do not
 	graceEnd boottime.Instant
-	version  uint64
 }
 
 // NewTracker returns a Tracker that knows no server.
@@ -87,9 +151,6 @@
 			changed = true
 		}
 	}
-	if changed {
-		t.version++
-	}
 	return changed
 }
 
@@ -102,17 +163,12 @@
 	}
 	s.Speed = speed
 	t.servers[id] = s
-	t.version++
 	return true
 }
 
 // List returns the current list.
 func (t *Tracker) List() *List {
-	out := &List{Version: t.version, Servers: make(map[string]Server, len(t.servers))}
-	for id, s := range t.servers {
-		out.Servers[id] = s
-	}
-	return out
+	return NewList(maps.Clone(t.servers))
 }
 
 // Failed notes that a reading that began at the given instant failed.
