Keep a line of waiting requests for each owner of keys

Cause: each request and each end of one looked at all requests that waited in a service and, for requests without a key, at all servers for each of them: a product of two numbers that both grow with the deployment. Each new assignment made every host rebuild its connections and lists of servers.

Change: requests for keys wait in the line of their owner, and a free place concerns that line and the one of requests without a key. Servers are looked at once a line. Hosts follow a new assignment by its owners only.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -11,35 +11,103 @@
 
 // Tick takes every decision that can be taken now.
 func (c *Core) Tick(now Instant) []Decision {
-	if len(c.queue) == 0 {
+	if c.lines.size == 0 {
 		return nil
 	}
-	c.order(now)
+	c.lines.arrange(c.lineOf)
 	var out []Decision
-	left := c.queue[:0]
-	ahead := make(map[string]time.Duration) // work queued before, by owner
-	var total time.Duration
-	for _, w := range c.queue {
-		decision, done := c.decide(now, w, ahead, total)
+	for _, name := range c.lines.names() {
+		out = append(out, c.decideLine(now, name)...)
+	}
+	return out
+}
+
+// lineOf returns the line of a request: that of its key's owner, if it has one.
+func (c *Core) lineOf(w *waiting) string {
+	if c.owner == nil || w.Position < 0 {
+		return anyServer
+	}
+	state := c.owner(w.Position)
+	if state.Moving || c.servers[state.Server] == nil {
+		return noServer
+	}
+	return state.Server
+}
+
+// decideLine takes every decision about one line that can be taken now.
+func (c *Core) decideLine(now Instant, name string) []Decision {
+	queue := c.lines.queues[name]
+	if len(queue) == 0 {
+		return nil
+	}
+	order(queue, now)
+	p := pass{now: now}
+	if name == anyServer {
+		p = c.survey(now)
+	}
+	var out []Decision
+	left := queue[:0]
+	var ahead time.Duration // work queued before
+	for _, w := range queue {
+		decision, done := c.decide(&p, w, ahead)
 		if done {
 			out = append(out, decision)
 			continue
 		}
-		total += w.Work
+		ahead += w.Work
 		left = append(left, w)
 	}
-	clear(c.queue[len(left):])
-	c.queue = left
+	c.lines.replace(name, left, len(queue))
 	for i := range out {
-		out[i].Queue = len(left)
+		out[i].Queue = c.lines.size
 	}
 	return out
 }
 
-// order sorts the queue: what can still meet its target first, then by
-// priority, then those that came back, then by target.
-func (c *Core) order(now Instant) {
-	slices.SortStableFunc(c.queue, func(a, b *waiting) int {
+// pass is what holds for all requests of one line at one moment.
+type pass struct {
+	now Instant
+	// capacity is the work per second of the servers that can be used now, and
+	// meanSpeed that of all servers.
+	capacity, meanSpeed float64
+	// free holds the servers that may get a request now.
+	free []*server
+	// mayEject is true if servers that fail much may be left out.
+	mayEject bool
+}
+
+// survey looks at all servers once for a line.
+func (c *Core) survey(now Instant) pass {
+	p := pass{now: now}
+	ejected := 0
+	for _, s := range c.sorted {
+		speed := s.effectiveSpeed(now)
+		p.meanSpeed += speed
+		if s.failures > ejectRate {
+			ejected++
+		}
+		if now < s.pausedTo {
+			continue
+		}
+		if s.failures <= ejectRate {
+			p.capacity += speed * float64(s.Slots) * c.share
+		}
+		if c.hasRoom(s) {
+			p.free = append(p.free, s)
+		}
+	}
+	p.meanSpeed /= max(float64(len(c.sorted)), 1)
+	p.mayEject = float64(ejected) <= maxEjected*float64(len(c.sorted))
+	return p
+}
+
+// order sorts a line: what can still meet its target first, then by priority,
+// then those that came back, then by target.
+func order(queue []*waiting, now Instant) {
+	if len(queue) < 2 {
+		return
+	}
+	slices.SortStableFunc(queue, func(a, b *waiting) int {
 		return cmp.Or(
 			compareBool(b.timely(now), a.timely(now)),
 			cmp.Compare(a.Priority, b.Priority),
@@ -62,28 +130,32 @@
 	}
 }
 
-// decide finds a server for the request, rejects it, or leaves it waiting.
-func (c *Core) decide(now Instant, w *waiting, ahead map[string]time.Duration, total time.Duration) (Decision, bool) {
-	d := Decision{ID: w.ID, Waited: now.Sub(w.asked)}
+// decide finds a server for the request, rejects it, or leaves it waiting. Ahead
+// is the work that waits before it.
+func (c *Core) decide(p *pass, w *waiting, ahead time.Duration) (Decision, bool) {
+	d := Decision{ID: w.ID, Waited: p.now.Sub(w.asked)}
 	if c.owner != nil && w.Position >= 0 {
-		return c.decideOwned(now, w, d, ahead)
+		return c.decideOwned(p.now, w, d, ahead)
 	}
-	best, usable := c.best(now, w)
-	if best != nil {
-		return c.send(now, w, best, d), true
+	if best := c.best(p, w); best != nil {
+		d = c.send(p.now, w, best, d)
+		if !c.hasRoom(best) {
+			p.free = slices.DeleteFunc(p.free, func(s *server) bool { return s == best })
+		}
+		return d, true
 	}
-	if usable == 0 {
+	if c.usable(w) == 0 {
 		return reject(d, ReasonNoServer, retryAfterMin*4), true
 	}
-	wait := c.drainTime(now, total)
-	end := now.Add(wait + c.serviceTime(now, w))
-	if end > w.Deadline || end > w.Target && c.offered.now(now) > fullLoad*c.capacity(now) {
+	wait := time.Duration(float64(ahead) / max(p.capacity, minCapacity))
+	end := p.now.Add(wait + time.Duration(float64(w.Work)/max(p.meanSpeed, minCapacity)))
+	if end > w.Deadline || end > w.Target && c.offered.now(p.now) > fullLoad*p.capacity {
 		return reject(d, ReasonOverload, wait), true
 	}
 	return d, false
 }
 
-func (c *Core) decideOwned(now Instant, w *waiting, d Decision, ahead map[string]time.Duration) (Decision, bool) {
+func (c *Core) decideOwned(now Instant, w *waiting, d Decision, ahead time.Duration) (Decision, bool) {
 	state := c.owner(w.Position)
 	s := c.servers[state.Server]
 	if state.Moving || s == nil || slices.Contains(w.Exclude, state.Server) && s.pausedTo > now {
@@ -97,9 +169,7 @@
 	if c.hasRoom(s) && now >= s.pausedTo {
 		return c.send(now, w, s, d), true
 	}
-	queued := ahead[s.ID]
-	ahead[s.ID] = queued + w.Work
-	wait := time.Duration(float64(queued+w.Work/2) / (speed * float64(s.Slots) * c.share))
+	wait := time.Duration(float64(ahead+w.Work/2) / (speed * float64(s.Slots) * c.share))
 	wait = max(wait, s.pausedTo.Sub(now))
 	end := now.Add(wait + service)
 	if end > w.Deadline || end > w.Target && s.offered.now(now) > fullLoad*speed*float64(s.Slots)*c.share {
@@ -127,35 +197,34 @@
 	return s.inflight < max(int(math.Ceil(float64(s.Slots)*c.share)), 1)+c.extra
 }
 
-// best returns the server with room at which the request is expected to end
-// first, and how many servers may get it at all.
-func (c *Core) best(now Instant, w *waiting) (*server, int) {
-	ejected := 0
-	for _, s := range c.sorted {
-		if s.failures > ejectRate {
-			ejected++
-		}
-	}
-	mayEject := float64(ejected) <= maxEjected*float64(len(c.sorted))
+// best returns the free server at which the request is expected to end first,
+// nil if none may get it.
+func (c *Core) best(p *pass, w *waiting) *server {
 	var best *server
 	bestCost := math.Inf(1)
-	usable := 0
-	for _, s := range c.sorted {
+	for _, s := range p.free {
 		if slices.Contains(w.Exclude, s.ID) {
 			continue
 		}
-		usable++
-		if now < s.pausedTo || !c.hasRoom(s) {
-			continue
-		}
-		if mayEject && s.failures > ejectRate && (now.Sub(s.triedAt) < trialInterval || !w.Repeatable) {
+		if p.mayEject && s.failures > ejectRate && (p.now.Sub(s.triedAt) < trialInterval || !w.Repeatable) {
 			continue
 		}
-		if cost := c.cost(now, w, s); cost < bestCost {
+		if cost := c.cost(p.now, w, s); cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
-	return best, usable
+	return best
+}
+
+// usable returns how many servers may get the request at all.
+func (c *Core) usable(w *waiting) int {
+	left := len(c.sorted)
+	for _, id := range w.Exclude {
+		if c.servers[id] != nil {
+			left--
+		}
+	}
+	return left
 }
 
 // cost is the expected time of the request at the server in seconds, made
@@ -189,28 +258,3 @@
 	_, _ = digest.WriteString(name) // never fails
 	return (float64(digest.Sum64()>>11) + 0.5) / (1 << 53)
 }
-
-// drainTime estimates when the queued work before a request has found servers.
-func (c *Core) drainTime(now Instant, queued time.Duration) time.Duration {
-	return time.Duration(float64(queued) / max(c.capacity(now), 0.1))
-}
-
-// capacity is the work per second of the servers that can be used now.
-func (c *Core) capacity(now Instant) float64 {
-	capacity := 0.0
-	for _, s := range c.sorted {
-		if now >= s.pausedTo && s.failures <= ejectRate {
-			capacity += s.effectiveSpeed(now) * float64(s.Slots) * c.share
-		}
-	}
-	return capacity
-}
-
-// serviceTime estimates the time at a server of mean speed.
-func (c *Core) serviceTime(now Instant, w *waiting) time.Duration {
-	sum := 0.0
-	for _, s := range c.sorted {
-		sum += s.effectiveSpeed(now)
-	}
-	return time.Duration(float64(w.Work) * float64(len(c.sorted)) / max(sum, 0.1))
-}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -145,6 +145,8 @@
 	fullLoad   = 0.92
 	// coldFactor is the speed of a server during its warmup.
 	coldFactor = 0.5
+	// minCapacity keeps estimates finite while no server is usable.
+	minCapacity = 0.1
 	// retryAfterMin is the shortest advice to a rejected caller: the wait must
 	// let some of the queue drain.
 	retryAfterMin = 50 * time.Millisecond
@@ -207,7 +209,7 @@
 	owner   func(position int) OwnerState
 	servers map[string]*server
 	sorted  []*server // by ID, so that decisions do not depend on map order
-	queue   []*waiting
+	lines   lines
 	sent    map[uint64]sending
 	offered offered
 }
@@ -223,7 +225,7 @@
 
 // NewCore returns a Core for one service. Owner is nil if servers own no keys.
 func NewCore(share float64, extra int, owner func(position int) OwnerState) *Core {
-	return &Core{share: share, extra: extra, owner: owner, servers: make(map[string]*server), sent: make(map[uint64]sending)}
+	return &Core{share: share, extra: extra, owner: owner, servers: make(map[string]*server), lines: newLines(), sent: make(map[uint64]sending)}
 }
 
 // SetShare changes the part of the slots that the Core may use.
@@ -263,13 +265,20 @@
 	if s := c.ownerOf(ask); s != nil {
 		s.offered.add(now, ask.Work)
 	}
-	c.queue = append(c.queue, &waiting{Ask: ask, asked: now})
-	return c.Tick(now)
+	w := &waiting{Ask: ask, asked: now}
+	return c.decideLine(now, c.lines.add(c.lineOf(w), w))
 }
 
 // Cancel forgets a request that waits.
 func (c *Core) Cancel(now Instant, id uint64) []Decision {
-	c.queue = slices.DeleteFunc(c.queue, func(w *waiting) bool { return w.ID == id })
+	c.lines.remove(id)
+	return c.Tick(now)
+}
+
+// SetOwner replaces the function that tells the owner of a position and returns
+// the decisions that follow.
+func (c *Core) SetOwner(now Instant, owner func(position int) OwnerState) []Decision {
+	c.owner = owner
 	return c.Tick(now)
 }
 
@@ -293,7 +302,8 @@
 		s.inflight = max(s.inflight-1, 0)
 		s.note(now, sent, result)
 	}
-	return c.Tick(now)
+	// The place is of use only to what waits for this server.
+	return append(c.decideLine(now, sent.server), c.decideLine(now, anyServer)...)
 }
 
 func (s *server) note(now Instant, sent sending, result Result) {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -68,7 +68,7 @@
 		}
 	}
 	assert.Assert(t, rejected >= 10, "%d of 18 rejected", rejected)
-	assert.Assert(t, len(c.queue) >= 1)
+	assert.Assert(t, c.lines.size >= 1)
 }
 
 // Guards against late requests that delay those that can still be in time.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -47,6 +47,15 @@
 	d.deliver(core.SetServers(d.Now(), servers))
 }
 
+// SetOwner changes who owns the keys of a service.
+func (d *Dispatcher) SetOwner(service string, owner func(position int) OwnerState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if core := d.cores[service]; core != nil {
+		d.deliver(core.SetOwner(d.Now(), owner))
+	}
+}
+
 // Acquire waits for a server for the request. After a decision that names a
 // server, Release must be called with the returned number.
 func (d *Dispatcher) Acquire(ctx context.Context, ask Ask) (Decision, uint64) {
@@ -145,7 +154,7 @@
 	waits := false
 	for _, core := range d.cores {
 		d.deliver(core.Tick(d.Now()))
-		waits = waits || len(core.queue) > 0
+		waits = waits || core.lines.size > 0
 	}
 	return waits
 }
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -38,6 +38,7 @@
 
 	mu    sync.Mutex
 	pools map[string]*serverPool // by server ID
+	last  *control.Snapshot      // that was followed
 }
 
 type serverPool struct {
@@ -62,12 +63,20 @@
 	return p.pool, id, true
 }
 
-// Update follows a new snapshot.
+// Update follows a new snapshot. Calls must not overlap.
 func (s *Servers) Update(snapshot *control.Snapshot) {
 	if snapshot.Servers == nil || snapshot.Config == nil {
 		return
 	}
-	s.updatePools(snapshot.Servers)
+	last := s.last
+	s.last = snapshot
+	if last != nil && last.Servers == snapshot.Servers && last.Config == snapshot.Config && last.Hosts == snapshot.Hosts {
+		s.updateOwners(last, snapshot)
+		return
+	}
+	if last == nil || last.Servers != snapshot.Servers {
+		s.updatePools(snapshot.Servers)
+	}
 	byService := make(map[string][]dispatch.Server)
 	for _, server := range snapshot.Servers.Servers {
 		if server.Draining {
@@ -87,6 +96,19 @@
 	}
 }
 
+// updateOwners follows changes of owners, which in a large deployment are many
+// times as frequent as those of servers.
+func (s *Servers) updateOwners(last, snapshot *control.Snapshot) {
+	for name, a := range snapshot.Shards {
+		if service := snapshot.Config.Services[name]; !service.KeyOwned || last.Shards[name] == a {
+			continue
+		}
+		owner := ownerOf(snapshot, a)
+		s.local.SetOwner(name, owner)
+		s.central.SetOwner(name, owner)
+	}
+}
+
 // ownerOf returns a function that finds the owner of a position.
 func ownerOf(snapshot *control.Snapshot, a *shards.Assignment) func(position int) dispatch.OwnerState {
 	return func(position int) dispatch.OwnerState {
