Bound what servers send without end; match every answer to its request

On a connection in use again, a late second copy of a refusal that bears no id was taken for the refusal of the next request, and one with the id of an earlier try of the same request for that of the next try: then a request that must not be repeated is sent again although it runs.

On a used connection an answer without an id is nobody's. A connection on which a request was refused does not carry it again. Calls to the store, to other hosts and orders have the same bound of heads.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -107,7 +107,7 @@
 
 // Do sends the request to the server at the pool's address.
 func (p *Pool) Do(ctx context.Context, r *Request) Result {
-	c, err := p.get(ctx, r.FreshOnly)
+	c, err := p.get(ctx, r)
 	if err != nil {
 		return Result{Outcome: canceledOr(ctx, NotSent), Err: err}
 	}
@@ -248,13 +248,17 @@
 	errEncoded   = errors.New("the server's answer has an encoding that was not asked for")
 	errUnsigned  = errors.New("a success without the server's signature")
 	errTooMany   = errors.New("too many answers to earlier requests")
+	errEndless   = errors.New("the server's answer does not end")
 	errShortBody = errors.New("the answer's body ends early")
 )
 
 // read reads the answer to the request and passes over late answers to earlier
 // requests.
 func (p *Pool) read(c *conn, r *Request) Result {
+	reused := c.used
+	c.used = true
 	for range maxSkipped {
+		c.bounded.left = MaxHeadBytes
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return Result{Outcome: Broken, Err: err}
@@ -262,8 +266,14 @@
 		if response.StatusCode < 200 {
 			continue
 		}
-		if id := response.Header.Get(p.headers.RequestID); id != "" && id != r.ID {
-			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		id := response.Header.Get(p.headers.RequestID)
+		if id == "" && r.ID != "" && reused {
+			// It may be a late copy of the answer to an earlier request; on a
+			// connection's first one there is none.
+			return Result{Outcome: Broken, Err: errNoAnswer}
+		}
+		if id != "" && id != r.ID {
+			if err := skip(&boundedBody{response.Body, c.bounded}, p.maxHeld); err != nil {
 				return Result{Outcome: Broken, Err: err}
 			}
 			continue
@@ -286,32 +296,60 @@
 		return Result{Outcome: Broken, Err: errEncoded}
 	}
 	c.noteKeepAlive(response)
+	rest := &boundedBody{response.Body, c.bounded}
 	if response.ContentLength > p.maxHeld {
-		result.Rest = &streamed{body: response.Body, conn: c}
+		result.Rest = &streamed{body: rest, conn: c}
 		return result
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, p.maxHeld+1))
+	body, err := io.ReadAll(io.LimitReader(rest, p.maxHeld+1))
 	if err != nil {
 		return Result{Outcome: Broken, Err: fmt.Errorf("%w: %w", errShortBody, err)}
 	}
 	result.Body = body
 	if int64(len(body)) > p.maxHeld {
-		result.Rest = &streamed{body: response.Body, conn: c}
+		result.Rest = &streamed{body: rest, conn: c}
 		return result
 	}
 	result.Misdirected = response.StatusCode == http.StatusMisdirectedRequest
 	if result.Misdirected || response.Header.Get(p.headers.NotExecuted) != "" {
 		result.Outcome = Refused
+		c.noteRefused(r.ID)
 	}
 	return result
 }
 
+// skip reads a body that is of no use, unless it is longer than most.
+func skip(body io.Reader, most int64) error {
+	n, err := io.CopyN(io.Discard, body, most)
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil && n == most:
+		return errEndless
+	}
+	return err
+}
+
+// boundedBody bounds what one call reads from the connection beside the body's
+// own bytes: chunk lines and trailers may come without end.
+type boundedBody struct {
+	body    io.Reader
+	bounded *boundedReader
+}
+
+// Read reads the next part of the body.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	b.bounded.left = int64(len(p)) + MaxHeadBytes
+	return b.body.Read(p)
+}
+
 // streamed is the rest of an answer that is passed on while it is read.
 type streamed struct {
-	body io.ReadCloser
+	body io.Reader
 	conn *conn
 }
 
+// Read reads the next part.
 func (s *streamed) Read(p []byte) (int, error) { return s.body.Read(p) }
 
 // Close ends the connection: a large answer is rare, and its end can't be told
@@ -342,7 +380,10 @@
 type conn struct {
 	net.Conn
 	pool      *Pool
-	reader    *bufio.Reader
+	bounded   *boundedReader
+	reader    *bufio.Reader // of bounded
+	used      bool          // has carried a request
+	refused   []string      // IDs of requests that were refused on it
 	idleSince time.Time
 	idleLimit time.Duration
 	reusable  bool
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -26,6 +28,12 @@
 	// unackedLimit ends connections whose peer acknowledges nothing; a machine
 	// without power sends no reset.
 	unackedLimit = 3 * time.Second
+	// MaxHeadBytes bounds the head of an answer, and its trailer: a peer in
+	// trouble may send bytes without end.
+	MaxHeadBytes = 64 << 10
+	// maxRefused is how many refused requests a connection remembers; it is not
+	// used again after that many.
+	maxRefused = 8
 	// DefaultMaxHeld is the largest answer that is read whole before it is
 	// passed on, so that one that ends early can still be replaced.
 	DefaultMaxHeld = 768 << 10
@@ -60,7 +68,7 @@
 // NewClient returns a client for calls to other hosts and to the store.
 func NewClient(dial DialFunc) *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: clientIdleConns,
-		IdleConnTimeout: clientIdle, DisableCompression: true}}
+		IdleConnTimeout: clientIdle, DisableCompression: true, MaxResponseHeaderBytes: MaxHeadBytes}}
 }
 
 // Pool keeps the connections to one server.
@@ -86,8 +94,9 @@
 	return &Pool{address: address, headers: headers, dial: dial, maxHeld: DefaultMaxHeld, background: background, opened: opened}
 }
 
-// get returns an idle connection that looks alive, or opens one.
-func (p *Pool) get(ctx context.Context, freshOnly bool) (*conn, error) {
+// get returns an idle connection that looks alive and may carry the request, or
+// opens one.
+func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
 	now := time.Now()
 	for {
 		c := p.pop()
@@ -95,11 +104,11 @@
 			break
 		}
 		idle := now.Sub(c.idleSince)
-		if idle > c.idleLimit || !c.quiet() {
+		if idle > c.idleLimit || !c.quiet() || c.refusedBefore(r.ID) {
 			c.discard()
 			continue
 		}
-		if freshOnly && idle > freshIdle {
+		if r.FreshOnly && idle > freshIdle {
 			p.unshift(c)
 			break
 		}
@@ -110,7 +119,8 @@
 		return nil, err
 	}
 	p.opened()
-	return &conn{Conn: raw, pool: p, reader: bufio.NewReaderSize(raw, 4096), idleLimit: defaultIdle}, nil
+	bounded := &boundedReader{reader: raw}
+	return &conn{Conn: raw, pool: p, bounded: bounded, reader: bufio.NewReaderSize(bounded, 4096), idleLimit: defaultIdle}, nil
 }
 
 func (p *Pool) pop() *conn {
@@ -203,3 +213,32 @@
 	})
 	return err == nil && quiet
 }
+
+// boundedReader fails after a number of bytes. Unlike the end of an
+// io.LimitedReader, that can't be taken for the end of a body.
+type boundedReader struct {
+	reader io.Reader
+	left   int64
+}
+
+// Read reads at most what is left.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errEndless
+	}
+	n, err := b.reader.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
+// refusedBefore reports whether the connection may still bring a second copy of
+// the refusal of an earlier try of this request.
+func (c *conn) refusedBefore(id string) bool { return slices.Contains(c.refused, id) }
+
+// noteRefused remembers that a request was refused on the connection.
+func (c *conn) noteRefused(id string) {
+	c.refused = append(c.refused, id)
+	if len(c.refused) >= maxRefused {
+		c.reusable = false
+	}
+}
