--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -147,14 +147,12 @@
 // mayAskStore reports whether this host looks for a leader in the store. The
 // relays do at once; the others ask them first, since all hosts together would
 // load the store in proportion to their number. A host that has just started
-// knows the seeds only.
+// knows none and asks the store: the seeds may all be gone, and after a loss of
+// power each tenth of a second that callers wait counts.
 func (n *Node) mayAskStore() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.peers) == 0 {
-		return len(n.Seeds) == 0 || slices.Contains(n.Seeds, n.Address) || n.Clock().Sub(n.startedAt) > seedPatience
-	}
-	return slices.Contains(n.peers, n.Address) || n.Clock().Sub(n.lostAt) > relayPatience
+	return len(n.peers) == 0 || slices.Contains(n.peers, n.Address) || n.Clock().Sub(n.lostAt) > relayPatience
 }
 
 // knowsLeader reports whether a leader is known that was not found silent.
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -36,9 +36,7 @@
 	// relayPatience is how long a host that lost the leader asks the relays for
 	// another before it looks for one in the store. An election takes LeaseTTL.
 	relayPatience = 4 * time.Second
-	// seedPatience is how long a host that has just started asks the seeds.
-	seedPatience = 400 * time.Millisecond
-	// peerPause follows questions to relays and seeds that named no leader.
+	// peerPause follows questions to relays that named no leader.
 	peerPause = 150 * time.Millisecond
 	// electionJitter spreads the tries to become leader.
 	electionJitter = 120 * time.Millisecond
@@ -89,7 +87,6 @@
 	// unreachable is the term of a leader that did not answer, since lostAt.
 	unreachable int64
 	lostAt      boottime.Instant
-	startedAt   boottime.Instant
 	known       *fleetpb.Known // numbers of the leader's term
 	// wantsWhole is true if changes did not fit what this host has.
 	wantsWhole bool
@@ -125,7 +122,7 @@
 // NewNode returns a Node with an empty View.
 func NewNode(options Options) *Node {
 	options.Log = options.Log.Named("control")
-	return &Node{Options: options, view: NewView(), history: newHistory(), tracker: registry.NewTracker(), storeUp: true, startedAt: options.Clock(),
+	return &Node{Options: options, view: NewView(), history: newHistory(), tracker: registry.NewTracker(), storeUp: true,
 		timing: timing{outageAuthority: outageAuthority, formerWait: outageAuthority, grantExpiry: grantExpiry}}
 }
 
