--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -222,7 +222,7 @@
 func (l *leadership) knownSpeeds() map[string]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.speeds.all()
+	return l.speeds.all(l.node.Clock())
 }
 
 func (l *leadership) every(ctx context.Context, interval time.Duration, work func()) {
@@ -267,7 +267,7 @@
 	speeds := make(map[string]float64)
 	if now.Sub(l.spedAt) >= speedInterval {
 		l.spedAt = now
-		speeds = l.speeds.all()
+		speeds = l.speeds.all(now)
 	}
 	hosts := 1
 	for host, peer := range l.hosts {
--- a/internal/control/meter.go
+++ b/internal/control/meter.go
@@ -15,6 +15,8 @@
 	loadWindow = time.Second
 	// speedWindow is longer: the work of requests varies much.
 	speedWindow = 4 * time.Second
+	// speedMemory is how long a server is remembered that has no answers.
+	speedMemory = time.Minute
 	// minSpeedSeconds is the observed work from which a speed is believed.
 	minSpeedSeconds = 0.6
 )
@@ -77,10 +79,15 @@
 	s.at = now
 }
 
-// all returns the speeds that are known.
-func (m *speedMeter) all() map[string]float64 {
+// all returns the speeds that are known, and forgets servers that were not heard
+// of for long: IDs are new at each start.
+func (m *speedMeter) all(now boottime.Instant) map[string]float64 {
 	out := make(map[string]float64, len(m.sums))
-	for id := range m.sums {
+	for id, s := range m.sums {
+		if now.Sub(s.at) > speedMemory {
+			delete(m.sums, id)
+			continue
+		}
 		if speed, ok := m.speed(id); ok {
 			out[id] = speed
 		}
