--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -61,7 +61,9 @@
 	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signature: s\r\n"
 	for name, start := range map[string]string{"until the connection ends": head + "\r\n", "in chunks": head + "Transfer-Encoding: chunked\r\n\r\n"} {
 		t.Run(name, func(t *testing.T) {
-			pool := serve(t, func(c net.Conn, _ int, _ *http.Request) { forever(c, start, "1000\r\n"+strings.Repeat("x", 4096)+"\r\n") })
+			pool := serve(t, func(c net.Conn, _ int, _ *http.Request) {
+				forever(c, start, "1000\r\n"+strings.Repeat("x", 4096)+"\r\n")
+			})
 			r := request("1")
 			r.Deadline = time.Now().Add(2 * time.Second)
 			result := pool.Do(context.Background(), r)
