--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -14,11 +14,13 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/placing"
 	"github.com/cassiasill/cassiasill/internal/quarantine"
+	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/routes"
 )
 
@@ -49,6 +51,7 @@
 	Placer           *placing.Placer
 	ServerPools      *ServerPools
 	RetryBudget      *RetryBudget
+	RateLimits       *ratelimit.Table
 	Metrics          *Metrics
 	Log              *zap.Logger
 }
@@ -221,16 +224,17 @@
 
 // attempt sends the request to one server.
 func (h *Handler) attempt(ctx context.Context, q *request, decision dispatch.Decision, ticket placing.AcquiredSlot) exchange.Result {
-	pool, instance, ok := h.ServerPools.Pool(decision.Server)
+	pool, server, ok := h.ServerPools.Pool(decision.Server)
 	if !ok {
 		h.Placer.Release(ticket, dispatch.Result{Outcome: dispatch.Abandoned})
 		q.attempts.unsent++
 		return exchange.Result{Outcome: exchange.NotSent, Err: errors.New("the server is no longer listed")}
 	}
-	q.upstream.Deadline, q.upstream.ExpectedInstance = q.deadline, instance
-	sentAt := time.Now()
+	q.upstream.Deadline, q.upstream.ExpectedInstance = q.deadline, server.ID
+	sentAt, observedFrom := time.Now(), h.RateLimits.Now()
 	result := pool.Do(ctx, &q.upstream)
 	took := time.Since(sentAt)
+	h.observeRateLimit(server, result, observedFrom)
 	h.recordAttempt(q, decision, result, took)
 	h.Placer.Release(ticket, dispatchResult(result))
 	h.Metrics.recordAttempt(result, took)
@@ -242,6 +246,18 @@
 	return result
 }
 
+// observeRateLimit records what the result says about the server's rate limit.
+func (h *Handler) observeRateLimit(server ratelimit.Server, result exchange.Result, sentAt boottime.Instant) {
+	if result.Outcome != exchange.NotSent {
+		h.RateLimits.CountSent(server.ID)
+	}
+	if result.RateLimitErr != nil {
+		h.Metrics.countInvalidRateLimit()
+		h.RateLimits.ReportInvalid(server, result.RateLimitErr)
+	}
+	h.RateLimits.Observe(server, result.RateLimit, result.Rate, sentAt)
+}
+
 // recordAttempt updates the request's counts, the route's cost estimate and the
 // server's reports after an attempt.
 func (h *Handler) recordAttempt(q *request, decision dispatch.Decision, result exchange.Result, took time.Duration) {
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -15,10 +15,12 @@
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
+	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/placing"
+	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/registry"
 	"github.com/cassiasill/cassiasill/internal/routes"
 	"github.com/cassiasill/cassiasill/internal/telemetry"
@@ -69,7 +71,7 @@
 	budget := NewRetryBudget(0.2, 100, 10*time.Second)
 	budget.SetHosts(1)
 	handler := NewHandler(Options{HeaderNames: headerNames, View: control.NewStaticView(snapshot), Reports: control.NewReports(),
-		Placer: placing.NewPlacer("", exchange.Dial, local, central), ServerPools: pools, RetryBudget: budget, Metrics: instruments, Log: zap.New(core)})
+		Placer: placing.NewPlacer("", exchange.Dial, local, central), ServerPools: pools, RetryBudget: budget, RateLimits: ratelimit.NewTable(boottime.Now, zap.New(core)), Metrics: instruments, Log: zap.New(core)})
 	frontend := httptest.NewServer(handler)
 	t.Cleanup(frontend.Close)
 	p.url = frontend.URL
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -22,6 +22,7 @@
 	attempts          metric.Int64Counter
 	attemptLatency    metric.Float64Histogram
 	connectionsOpened metric.Int64Counter
+	invalidRateLimits metric.Int64Counter
 }
 
 // NewMetrics creates the instruments.
@@ -48,6 +49,7 @@
 	m.attempts = counter("entry.tries", "Requests sent to servers by how that ended.")
 	m.attemptLatency = histogram("entry.try_latency", "Time from sending to the end of a try.")
 	m.connectionsOpened = counter("entry.connections_opened", "Connections opened to servers.")
+	m.invalidRateLimits = counter("ratelimit.invalid", "Responses with an invalid rate limit, which was ignored.")
 	return m, err
 }
 
@@ -69,6 +71,8 @@
 // CountConnection counts a new connection to a server.
 func (m *Metrics) CountConnection() { m.connectionsOpened.Add(context.Background(), 1) }
 
+func (m *Metrics) countInvalidRateLimit() { m.invalidRateLimits.Add(context.Background(), 1) }
+
 // routeAttribute labels a series by the kind of the route. Route names change
 // with each configuration and would make the number of series grow without bound.
 func routeAttribute(route *routes.Route) attribute.KeyValue {
--- a/internal/entry/serverpools.go
+++ b/internal/entry/serverpools.go
@@ -9,6 +9,7 @@
 	"github.com/cassiasill/cassiasill/internal/control"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/registry"
 	"github.com/cassiasill/cassiasill/internal/shards"
 )
@@ -45,9 +46,9 @@
 
 // serverPool is the connection pool of one incarnation of a server.
 type serverPool struct {
-	pool        *exchange.Pool
-	address     string
-	incarnation int64
+	pool    *exchange.Pool
+	address string
+	server  ratelimit.Server
 }
 
 // NewServerPools returns an empty set of pools. onConnectionOpened, if not nil, is
@@ -56,16 +57,16 @@
 	return &ServerPools{headerNames: headerNames, dial: dial, local: local, central: central, onConnectionOpened: onConnectionOpened, pools: make(map[string]*serverPool)}
 }
 
-// Pool returns the connection pool of a server and the instance ID that the
-// server must have.
-func (s *ServerPools) Pool(id string) (pool *exchange.Pool, instance string, ok bool) {
+// Pool returns the connection pool of a server and the incarnation that it connects
+// to.
+func (s *ServerPools) Pool(id string) (pool *exchange.Pool, server ratelimit.Server, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pools[id]
 	if p == nil {
-		return nil, "", false
+		return nil, ratelimit.Server{}, false
 	}
-	return p.pool, id, true
+	return p.pool, p.server, true
 }
 
 // Update applies a new snapshot. It is not safe for concurrent use.
@@ -143,7 +144,7 @@
 	defer s.mu.Unlock()
 	for id, p := range s.pools {
 		server, ok := list.Servers[id]
-		if !ok || server.Draining || server.Address != p.address || server.Incarnation != p.incarnation {
+		if !ok || server.Draining || server.Address != p.address || server.Incarnation != p.server.Incarnation {
 			p.pool.Close()
 			delete(s.pools, id)
 		}
@@ -152,7 +153,7 @@
 		if server.Draining || s.pools[id] != nil {
 			continue
 		}
-		s.pools[id] = &serverPool{address: server.Address, incarnation: server.Incarnation,
+		s.pools[id] = &serverPool{address: server.Address, server: ratelimit.Server{ID: id, Service: server.Service, Incarnation: server.Incarnation},
 			pool: exchange.NewPool(server.Address, s.headerNames, s.dial, &s.background, s.onConnectionOpened)}
 	}
 }
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -15,6 +15,7 @@
 	"github.com/cassiasill/cassiasill/internal/entry"
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/ratelimit"
 )
 
 // Names by which the services look each other up.
@@ -71,13 +72,17 @@
 // New assembles a host; Run starts it.
 func New(options Options) (*Host, error) {
 	options.Log = options.Log.With(zap.String("host", options.Name))
+	limits := ratelimit.NewTable(options.Clock, options.Log)
+	if err := registerRateLimitGauges(options.Metrics.Meter("ratelimit"), limits); err != nil {
+		return nil, err
+	}
 	controls := newControlService(options)
 	if err := registerGauges(options.Metrics.Meter("control"), controls.node); err != nil {
 		return nil, err
 	}
 	dispatching := newDispatchService(options)
 	budget := entry.NewRetryBudget(options.RetryShare, options.RetryBurst, options.RetryWindow)
-	entries := &entryService{options: options, metrics: options.Metrics.entry, budget: budget}
+	entries := &entryService{options: options, metrics: options.Metrics.entry, budget: budget, limits: limits}
 	admin := &adminService{options: options, metrics: options.Metrics.Metrics}
 	stopTimeout := max(options.GracePeriod-stopMargin, time.Second)
 	return &Host{kernel: kernel.New(options.Log, stopTimeout, controls, dispatching, admin, entries), budget: budget}, nil
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/control"
 	"github.com/cassiasill/cassiasill/internal/entry"
+	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/store"
 	"github.com/cassiasill/cassiasill/internal/telemetry"
 )
@@ -54,6 +55,32 @@
 // CountOmittedLine counts a log line that the rate limit dropped.
 func (m *Metrics) CountOmittedLine() { m.linesOmitted.Add(context.Background(), 1) }
 
+// registerRateLimitGauges registers gauges of the limits that servers announce. They
+// cover only limits in force, so the number of series is bounded.
+func registerRateLimitGauges(meter metric.Meter, table *ratelimit.Table) error {
+	gauges := []struct {
+		name, description string
+		value             func(ratelimit.Status) float64
+	}{
+		{"ratelimit.limit", "Requests per second that the server accepts from all hosts together.", func(s ratelimit.Status) float64 { return s.Rate }},
+		{"ratelimit.in_force_seconds", "Time since the server first announced a limit.", func(s ratelimit.Status) float64 { return table.Now().Sub(s.Since).Seconds() }},
+		{"ratelimit.sent", "Requests that this host sent to the server since then.", func(s ratelimit.Status) float64 { return float64(s.Sent) }},
+	}
+	for _, g := range gauges {
+		_, err := meter.Float64ObservableGauge(g.name, metric.WithDescription(g.description),
+			metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+				for _, s := range table.Statuses() {
+					o.Observe(g.value(s), metric.WithAttributes(attribute.String("server", s.ID), attribute.String("service", s.Service)))
+				}
+				return nil
+			}))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // registerGauges registers gauges of the host's snapshot and leadership.
 func registerGauges(meter metric.Meter, node *control.Node) error {
 	gauges := []struct {
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -17,6 +17,8 @@
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/kernel"
 	"github.com/cassiasill/cassiasill/internal/placing"
+	"github.com/cassiasill/cassiasill/internal/ratelimit"
+	"github.com/cassiasill/cassiasill/internal/registry"
 	"github.com/cassiasill/cassiasill/internal/telemetry"
 )
 
@@ -111,7 +113,9 @@
 	options  Options
 	metrics  *entry.Metrics
 	budget   *entry.RetryBudget
+	limits   *ratelimit.Table
 	node     *control.Node
+	servers  *registry.List // the list last passed to limits
 	server   *entry.Server
 	stopping atomic.Bool
 }
@@ -137,12 +141,13 @@
 	pools := entry.NewServerPools(&s.options.HeaderNames, s.options.Dial, local, central, s.metrics.CountConnection)
 	s.node.View().OnChange(func(snapshot *control.Snapshot) {
 		s.budget.SetHosts(snapshot.HostCount)
+		s.updateRateLimits(snapshot)
 		pools.Update(snapshot)
 		placer.SetDispatchers(snapshot.Dispatchers)
 	})
 	handler := entry.NewHandler(entry.Options{AvailabilityZone: s.options.AvailabilityZone, HeaderNames: s.options.HeaderNames,
 		View: s.node.View(), Reports: s.node.Reports, Placer: placer, ServerPools: pools,
-		RetryBudget: s.budget, Metrics: s.metrics, Log: s.options.Log})
+		RetryBudget: s.budget, RateLimits: s.limits, Metrics: s.metrics, Log: s.options.Log})
 	s.server = entry.NewServer(handler)
 	listener, err := listen(ctx, s.options.CallersAddress)
 	if err != nil {
@@ -158,6 +163,18 @@
 	return nil
 }
 
+// updateRateLimits drops the rate limits of servers that have left or restarted.
+func (s *entryService) updateRateLimits(snapshot *control.Snapshot) {
+	if snapshot.Servers == nil || snapshot.Servers == s.servers {
+		return
+	}
+	s.servers = snapshot.Servers
+	s.limits.SetServers(func(id string) (int64, bool) {
+		server, listed := s.servers.Servers[id]
+		return server.Incarnation, listed
+	})
+}
+
 // ready reports whether the load balancer should send requests to this host.
 func (s *entryService) ready() bool { return !s.stopping.Load() && s.node.View().Load().CanRoute() }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -17,6 +17,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cassiasill/cassiasill/internal/ratelimit"
 )
 
 // HeaderNames holds the names of the headers that hosts and servers exchange.
@@ -34,6 +36,9 @@
 	// NotExecuted states that the server did not execute the request.
 	NotExecuted string
 	KeyPosition string
+	// RateLimit holds the requests per second that the server accepts from all hosts
+	// together.
+	RateLimit string
 }
 
 // Outcome classifies how an exchange ended.
@@ -94,6 +99,11 @@
 	Load          ServerLoad
 	// HasLoad is true if the server reported its load.
 	HasLoad bool
+	// RateLimit and Rate are what the server states about its rate limit.
+	// RateLimitErr reports an invalid limit.
+	RateLimit    ratelimit.Announcement
+	Rate         float64
+	RateLimitErr error
 	// Misdirected is true if another server has the address, or the server does
 	// not own the key.
 	Misdirected bool
@@ -312,6 +322,7 @@
 	rest := &boundedBody{response.Body, c.bounded}
 	if response.ContentLength > p.maxBufferedBytes {
 		result.RemainingBody = &streamedBody{body: rest, conn: c}
+		p.parseRateLimit(&result)
 		return result
 	}
 	body, err := io.ReadAll(io.LimitReader(rest, p.maxBufferedBytes+1))
@@ -321,6 +332,7 @@
 	result.Body = body
 	if int64(len(body)) > p.maxBufferedBytes {
 		result.RemainingBody = &streamedBody{body: rest, conn: c}
+		p.parseRateLimit(&result)
 		return result
 	}
 	result.Misdirected = response.StatusCode == http.StatusMisdirectedRequest
@@ -328,9 +340,23 @@
 		result.Outcome = Refused
 		c.recordRefusal(r.ID)
 	}
+	p.parseRateLimit(&result)
 	return result
 }
 
+// parseRateLimit sets what the response states about the server's rate limit. A
+// misdirected request may have reached another server, whose limit says nothing
+// about this one. Without a signature, the lack of a limit proves nothing.
+func (p *Pool) parseRateLimit(result *Result) {
+	if result.Misdirected || p.headers.RateLimit == "" {
+		return
+	}
+	result.RateLimit, result.Rate, result.RateLimitErr = ratelimit.ParseRate(result.Header.Values(p.headers.RateLimit))
+	if result.RateLimit == ratelimit.Unlimited && result.Header.Get(p.headers.Signature) == "" {
+		result.RateLimit = ratelimit.Unstated
+	}
+}
+
 // parseLoad parses "running,waiting,slots". It returns false if text is malformed.
 func parseLoad(text string) (ServerLoad, bool) {
 	parts := strings.Split(text, ",")
--- /dev/null
+++ b/internal/ratelimit/table.go
@@ -0,0 +1,211 @@
+package ratelimit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/boottime"
+)
+
+const (
+	// maxEntries bounds the servers in a Table.
+	maxEntries = 4096
+	// endedTTL is how long an ended limit is kept, so that older reports of it are
+	// recognized as such. It exceeds the time that a report takes between hosts.
+	endedTTL = time.Minute
+)
+
+// Server identifies one incarnation of a server.
+type Server struct {
+	ID          string
+	Service     string
+	Incarnation int64
+}
+
+// Limit is what a host knows about the limit of one server.
+type Limit struct {
+	Server
+	// Rate is in requests per second of all hosts together; 0 if the limit has
+	// ended.
+	Rate float64
+	// Since is when the server first announced a limit, without an end since then.
+	Since boottime.Instant
+	// ReportedAt is when the server last stated this.
+	ReportedAt boottime.Instant
+}
+
+// Status is a Limit with what this host has done about it.
+type Status struct {
+	Limit
+	// Sent and Rejected count this host's requests since the limit was announced.
+	Sent, Rejected int64
+}
+
+// entry is a server's limit in a Table.
+type entry struct {
+	Status
+	unreported bool // not yet reported to the leader
+}
+
+// Table holds the limits that a host knows. It is safe for concurrent use.
+type Table struct {
+	clock boottime.Clock
+	log   *zap.Logger
+
+	mu       sync.Mutex
+	entries  map[string]*entry // by server ID
+	version  uint64
+	onChange []func(Limit)
+	invalid  map[string]int64 // incarnations whose invalid limit was logged, by server ID
+}
+
+// NewTable returns an empty Table.
+func NewTable(clock boottime.Clock, log *zap.Logger) *Table {
+	return &Table{clock: clock, log: log.Named("ratelimit"), entries: make(map[string]*entry), invalid: make(map[string]int64)}
+}
+
+// Now returns the time on the Table's clock.
+func (t *Table) Now() boottime.Instant { return t.clock() }
+
+// OnChange calls f for each limit that begins, changes or ends. f must not call the
+// Table.
+func (t *Table) OnChange(f func(Limit)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.onChange = append(t.onChange, f)
+}
+
+// Observe records what a response to a request that was sent at sentAt says.
+//
+// The end of a limit counts from sentAt and its announcement from now: a response
+// without a limit that was on its way when the limit was announced is older.
+func (t *Table) Observe(server Server, announcement Announcement, rate float64, sentAt boottime.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch announcement {
+	case Limited:
+		now := t.clock()
+		t.merge(Limit{Server: server, Rate: rate, Since: now, ReportedAt: now}, "server", true)
+	case Unlimited:
+		if t.entries[server.ID] != nil {
+			t.merge(Limit{Server: server, ReportedAt: sentAt}, "server", true)
+		}
+	}
+}
+
+// ReportInvalid logs an invalid limit, once for each incarnation of a server.
+func (t *Table) ReportInvalid(server Server, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if incarnation, logged := t.invalid[server.ID]; logged && incarnation == server.Incarnation {
+		return
+	}
+	if len(t.invalid) >= maxEntries {
+		clear(t.invalid)
+	}
+	t.invalid[server.ID] = server.Incarnation
+	t.log.Warn("ratelimit: invalid limit ignored", zap.String("server", server.ID), zap.String("service", server.Service), zap.Error(err))
+}
+
+// merge replaces the known limit of a server by a later report. A report about a
+// later incarnation is always the later one.
+func (t *Table) merge(reported Limit, source string, own bool) {
+	known := t.entries[reported.ID]
+	switch {
+	case reported.Rate != 0 && !isValidRate(reported.Rate):
+		return
+	case known == nil && len(t.entries) >= maxEntries:
+		return
+	case known == nil:
+		known = &entry{Status: Status{Limit: Limit{Server: reported.Server}}}
+		t.entries[reported.ID] = known
+	case reported.Incarnation < known.Incarnation, reported.Incarnation == known.Incarnation && reported.ReportedAt <= known.ReportedAt:
+		return
+	}
+	old := known.Status
+	if old.Incarnation == reported.Incarnation && old.Rate > 0 && reported.Rate > 0 {
+		reported.Since = min(old.Since, reported.Since)
+	}
+	if reported.Service == "" {
+		reported.Service = old.Service
+	}
+	known.Limit = reported
+	known.unreported = known.unreported || own
+	if old.Incarnation == reported.Incarnation && old.Rate == reported.Rate {
+		return
+	}
+	t.announce(old, known, source)
+}
+
+// announce logs a changed limit and tells the observers.
+func (t *Table) announce(old Status, known *entry, source string) {
+	if old.Rate == 0 || old.Incarnation != known.Incarnation {
+		known.Sent, known.Rejected = 0, 0
+	}
+	t.version++
+	message := "ratelimit: limit ended"
+	switch {
+	case known.Rate > 0 && (old.Rate == 0 || old.Incarnation != known.Incarnation):
+		message = "ratelimit: limit announced"
+	case known.Rate > 0:
+		message = "ratelimit: limit changed"
+	case old.Rate == 0:
+		message = ""
+	}
+	if message != "" {
+		t.log.Info(message, zap.String("server", known.ID), zap.String("service", known.Service), zap.Float64("rate", known.Rate), zap.Float64("former_rate", old.Rate),
+			zap.String("source", source), zap.Duration("in_force", t.clock().Sub(cmp.Or(old.Since, known.Since))), zap.Int64("sent", old.Sent), zap.Int64("rejected", old.Rejected))
+	}
+	for _, f := range t.onChange {
+		f(known.Limit)
+	}
+}
+
+// CountSent counts a request that this host sent to a server.
+func (t *Table) CountSent(server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[server]; e != nil && e.Rate > 0 {
+		e.Sent++
+	}
+}
+
+// SetServers removes the limits of servers that are no longer listed or have
+// restarted. Incarnation returns the current incarnation of a listed server.
+func (t *Table) SetServers(incarnation func(id string) (int64, bool)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	for id, e := range t.entries {
+		current, listed := incarnation(id)
+		switch {
+		case listed && current > e.Incarnation:
+			if e.Rate > 0 {
+				old := e.Status
+				e.Limit = Limit{Server: Server{ID: id, Service: e.Service, Incarnation: current}, ReportedAt: now}
+				t.announce(old, e, "restart")
+			}
+		case now.Sub(e.ReportedAt) > endedTTL && (!listed || e.Rate == 0):
+			delete(t.entries, id)
+			t.version++
+		}
+	}
+}
+
+// Statuses returns the limits in force, ordered by server.
+func (t *Table) Statuses() []Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Status
+	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
+		if e := t.entries[id]; e.Rate > 0 {
+			out = append(out, e.Status)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ratelimit/table_test.go
@@ -0,0 +1,121 @@
+package ratelimit
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+
+	"github.com/cassiasill/cassiasill/internal/boottime"
+)
+
+var testServer = Server{ID: "i-1", Service: "svc", Incarnation: 1}
+
+// newTestTable returns a Table whose clock the test sets.
+func newTestTable() (*Table, *boottime.Instant, *observer.ObservedLogs) {
+	now := boottime.Instant(time.Hour)
+	core, logs := observer.New(zap.InfoLevel)
+	return NewTable(func() boottime.Instant { return now }, zap.New(core)), &now, logs
+}
+
+// rates returns the limits in force, as "server=rate".
+func rates(table *Table) string {
+	var out []string
+	for _, s := range table.Statuses() {
+		out = append(out, fmt.Sprintf("%s=%g", s.ID, s.Rate))
+	}
+	return strings.Join(out, " ")
+}
+
+func TestParseRate(t *testing.T) {
+	for text, rate := range map[string]float64{"1.5": 1.5, "1": 1, "0.25": 0.25, "20.0": 20, "007": 7} {
+		announcement, parsed, err := ParseRate([]string{text})
+		assert.NilError(t, err)
+		assert.Equal(t, announcement, Limited)
+		assert.Equal(t, parsed, rate)
+	}
+	announcement, _, err := ParseRate(nil)
+	assert.NilError(t, err)
+	assert.Equal(t, announcement, Unlimited)
+}
+
+// Guards against a host that stops sending, or sends without a limit, because of a
+// value that no server means.
+func TestInvalidRatesAreIgnored(t *testing.T) {
+	for _, values := range [][]string{{"-1"}, {"0"}, {"0.0"}, {"1e9"}, {"10000000"}, {"NaN"}, {"nan"}, {"Inf"}, {"+Inf"}, {"0x10"}, {"1,5"}, {"1.5, 2"}, {"1.5", "1.5"},
+		{"1.5", "3"}, {""}, {" "}, {"1."}, {".5"}, {"1.5 "}, {"fast"}, {"1_0"}, {strings.Repeat("9", 400)}, {"0." + strings.Repeat("0", 20) + "1"}} {
+		announcement, rate, err := ParseRate(values)
+		var invalid *InvalidRateError
+		assert.Assert(t, errors.As(err, &invalid), "%q", values)
+		assert.Equal(t, announcement, Unstated, "%q", values)
+		assert.Equal(t, rate, 0.0)
+	}
+}
+
+// Guards against a limit that an invalid value changes or ends, and against a log
+// line for each response with one.
+func TestInvalidRateLeavesTheLimitInForce(t *testing.T) {
+	table, now, logs := newTestTable()
+	table.Observe(testServer, Limited, 1.5, *now)
+	for range 3 {
+		announcement, rate, err := ParseRate([]string{"NaN"})
+		table.ReportInvalid(testServer, err)
+		table.Observe(testServer, announcement, rate, *now)
+	}
+	assert.Equal(t, rates(table), "i-1=1.5")
+	assert.Equal(t, logs.FilterMessage("ratelimit: invalid limit ignored").Len(), 1)
+}
+
+// Guards against a response that was on its way when the limit was announced and
+// ends it.
+func TestResponseFromBeforeTheAnnouncementDoesNotEndTheLimit(t *testing.T) {
+	table, now, _ := newTestTable()
+	sentBefore := *now
+	*now = now.Add(time.Second)
+	table.Observe(testServer, Limited, 1.5, sentBefore)
+	table.Observe(testServer, Unlimited, 0, sentBefore)
+	assert.Equal(t, rates(table), "i-1=1.5")
+	*now = now.Add(time.Second)
+	table.Observe(testServer, Unlimited, 0, now.Add(-time.Millisecond))
+	assert.Equal(t, rates(table), "")
+}
+
+// Guards against the limit of a server's former process in force for its successor.
+func TestLimitEndsWithTheServerProcess(t *testing.T) {
+	table, now, logs := newTestTable()
+	table.Observe(testServer, Limited, 1.5, *now)
+	table.SetServers(func(string) (int64, bool) { return 2, true })
+	assert.Equal(t, rates(table), "")
+	table.Observe(testServer, Limited, 1.5, *now) // a late response of the former process
+	assert.Equal(t, rates(table), "")
+	successor := testServer
+	successor.Incarnation = 2
+	*now = now.Add(time.Second)
+	table.Observe(successor, Limited, 3, *now)
+	assert.Equal(t, rates(table), "i-1=3")
+	assert.Equal(t, logs.Len(), 3)
+}
+
+// Guards against log lines for unchanged limits, and against changes that leave none.
+func TestEachChangeIsLoggedOnce(t *testing.T) {
+	table, now, logs := newTestTable()
+	for _, rate := range []float64{1.5, 1.5, 1.5, 4, 4, 1} {
+		*now = now.Add(time.Second)
+		table.Observe(testServer, Limited, rate, *now)
+	}
+	table.CountSent(testServer.ID)
+	*now = now.Add(time.Second)
+	table.Observe(testServer, Unlimited, 0, *now)
+	table.Observe(testServer, Unlimited, 0, *now)
+	var lines []string
+	for _, line := range logs.All() {
+		lines = append(lines, fmt.Sprintf("%s %v", strings.TrimPrefix(line.Message, "ratelimit: limit "), line.ContextMap()["rate"]))
+	}
+	assert.DeepEqual(t, lines, []string{"announced 1.5", "changed 4", "changed 1", "ended 0"})
+	assert.Equal(t, logs.All()[3].ContextMap()["sent"], int64(1))
+}
