--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -15,6 +15,7 @@
 	"github.com/cassiasill/cassiasill/internal/entry"
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/network"
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
 )
 
@@ -56,8 +57,11 @@
 	RetryWindow time.Duration
 	// GracePeriod is the time within which the process must stop.
 	GracePeriod time.Duration
-	Dial        exchange.DialFunc
-	Clock       boottime.Clock
+	// Listen and Dial are the host's network; the zero Listen is that of the operating
+	// system.
+	Listen ListenFunc
+	Dial   exchange.DialFunc
+	Clock  boottime.Clock
 	// Metrics are served on MetricsAddress.
 	Metrics *Metrics
 	Log     *zap.Logger
@@ -72,6 +76,9 @@
 // New assembles a host; Run starts it.
 func New(options Options) (*Host, error) {
 	options.Log = options.Log.With(zap.String("host", options.Name))
+	if options.Listen == nil {
+		options.Listen = network.OS{}.Listen
+	}
 	limits := ratelimit.NewTable(options.Clock, options.Log)
 	if err := registerRateLimitGauges(options.Metrics.Meter("ratelimit"), limits); err != nil {
 		return nil, err
@@ -96,8 +103,5 @@
 	h.budget.SetLimits(share, burst, window)
 }
 
-// listen opens a TCP listener.
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	return config.Listen(ctx, "tcp", address)
-}
+// ListenFunc opens a TCP listener.
+type ListenFunc func(ctx context.Context, address string) (net.Listener, error)
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -44,7 +44,7 @@
 func (s *controlService) Node() *control.Node { return s.node }
 
 func (s *controlService) Start(ctx context.Context, registry *kernel.Registry) error {
-	listener, err := listen(ctx, s.options.PeerAddress)
+	listener, err := s.options.Listen(ctx, s.options.PeerAddress)
 	if err != nil {
 		return err
 	}
@@ -87,7 +87,7 @@
 }
 
 func (s *dispatchService) Start(ctx context.Context, registry *kernel.Registry) error {
-	listener, err := listen(ctx, s.options.DispatchAddress)
+	listener, err := s.options.Listen(ctx, s.options.DispatchAddress)
 	if err != nil {
 		return err
 	}
@@ -149,7 +149,7 @@
 		View: s.node.View(), Reports: s.node.Reports, Placer: placer, ServerPools: pools,
 		RetryBudget: s.budget, RateLimits: s.limits, Metrics: s.metrics, Log: s.options.Log})
 	s.server = entry.NewServer(handler)
-	listener, err := listen(ctx, s.options.CallersAddress)
+	listener, err := s.options.Listen(ctx, s.options.CallersAddress)
 	if err != nil {
 		return err
 	}
@@ -209,7 +209,7 @@
 	metrics := httprouter.New()
 	metrics.Handler(http.MethodGet, "/metrics", s.metrics.Handler())
 	for address, handler := range map[string]http.Handler{s.options.ReadinessAddress: readiness, s.options.MetricsAddress: metrics} {
-		listener, err := listen(ctx, address)
+		listener, err := s.options.Listen(ctx, address)
 		if err != nil {
 			return err
 		}
