Keep the rate limits that servers announce, whichever host places requests

Callers saw: nothing; the servers did.

Cause: the limit was not read. The class: a bound that applies to a server over all hosts was a matter of the host that places the service's requests, whose state is in memory and lost with it. With the header read there alone, a stop of that host would lift the limit: the others would place with a share of the slots, but of no rate, and its successor would start from nothing.

Evidence: the rate at the servers is the same before and after they announce a limit, and the first break comes 36 ms after the rule begins to hold, 3 s before the first host stops (docs/incidents/limit.md).

Change: - Each host keeps a table of the limits. What a response says reaches the dispatcher with the report of the request's end, the leader with the next sync, and from it every host, also one that starts later. A new dispatcher gets what each host knows when it connects, before its first request. Reports carry ages; the later one counts. The end of a limit counts from the sending of the request, so that a response that was on its way can't end it. - The scheduler takes a token for each request to such a server, be it new, queued, a retry or a probe. A dispatcher's bucket holds half a second of the limit and starts empty, as others may just have spent it. - Hosts without a dispatcher share a quarter of the limit by turns at random times that lapse when unused; saved turns of many hosts would be spent at once when the dispatcher fails. - A dispatcher of an older build does not say that it keeps limits; hosts then take a turn of their own for each request that it sends to such a server. - What the limit can't serve in time is rejected at once as rate-limited (503, not executed), each caller with a time of its own to return at.

Why it works: at any moment a limit is spent by one dispatcher at its rate, or by hosts at a quarter of it, or by both at 1.25 times it, below the 1.5 times that the platform allows; a change of dispatcher adds nothing because buckets start empty.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -30,6 +30,7 @@
 	KindNotOwner                Kind = "not-owner"
 	KindNoUpstream              Kind = "no-upstream"
 	KindOverloaded              Kind = "overloaded"
+	KindRateLimited             Kind = "rate-limited"
 	KindDeadlineUnreachable     Kind = "deadline-unreachable"
 	KindTimeout                 Kind = "timeout"
 	KindUpstreamRefused         Kind = "upstream-refused"
@@ -79,6 +80,7 @@
 	KindNotOwner:                {http.StatusServiceUnavailable, ExecutedNo, time.Second, zapcore.InfoLevel, "The server no longer owns the key"},
 	KindNoUpstream:              {http.StatusServiceUnavailable, ExecutedNo, time.Second, zapcore.WarnLevel, "No upstream may serve the request"},
 	KindOverloaded:              {http.StatusServiceUnavailable, ExecutedNo, time.Second, zapcore.InfoLevel, "The service is overloaded"},
+	KindRateLimited:             {http.StatusServiceUnavailable, ExecutedNo, time.Second, zapcore.InfoLevel, "The upstream's rate limit is used up"},
 	KindDeadlineUnreachable:     {http.StatusServiceUnavailable, ExecutedNo, time.Second, zapcore.InfoLevel, "The request cannot meet its deadline"},
 	KindTimeout:                 {http.StatusGatewayTimeout, ExecutedUnknown, 0, zapcore.WarnLevel, "The upstream did not answer in time"},
 	KindUpstreamRefused:         {http.StatusBadGateway, ExecutedNo, time.Second, zapcore.WarnLevel, "No connection to the upstream"},
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -91,7 +91,8 @@
 		request.StoreAgeMillis = n.Clock().Sub(n.storeReachedAt).Milliseconds()
 	}
 	n.mu.Unlock()
-	if request.Known == nil || request.Known.Term != leader.Term {
+	newTerm := request.Known == nil || request.Known.Term != leader.Term
+	if newTerm {
 		request.Known = &fleetpb.Known{Term: leader.Term}
 	}
 	if n.isRetired() {
@@ -101,15 +102,17 @@
 	}
 	request.Known = n.addVersions(request.Known, n.baseServerList(true))
 	n.Reports.drainInto(request)
+	request.RateLimits = n.RateLimits.TakeUnreported(newTerm)
 	client := fleetpbconnect.NewFleetServiceClient(n.PeerClient, "http://"+leader.Address)
 	sentAt := n.Clock()
 	response, err := client.Sync(ctx, connect.NewRequest(request))
+	if err == nil && !response.Msg.Leader {
+		err = errNotLeading
+	}
 	if err != nil {
+		n.RateLimits.RestoreUnreported(request.RateLimits)
 		return err
 	}
-	if !response.Msg.Leader {
-		return errNotLeading
-	}
 	n.applyResponse(response.Msg, sentAt)
 	return nil
 }
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -44,6 +44,9 @@
 	// formerQueryInterval is the interval at which former leaders are asked
 	// whether they have stopped.
 	formerQueryInterval = 500 * time.Millisecond
+	// minRateLimitsInterval is the minimum time between two updates of the hosts
+	// about rate limits, which a server may change with each response.
+	minRateLimitsInterval = 500 * time.Millisecond
 )
 
 // leadership is the state of one term as leader.
@@ -79,9 +82,10 @@
 	crashes        *crashTable
 	addresses      map[string]string // last known by server, including removed servers
 
-	managers map[string]*assignmentManager // by service; used only by tick
-	group    conc.WaitGroup
-	wakeups  chan struct{}
+	managers         map[string]*assignmentManager // by service; used only by tick
+	rateLimitsSentAt boottime.Instant              // used only by tick
+	group            conc.WaitGroup
+	wakeups          chan struct{}
 }
 
 // stepDown ends the leadership. Only the first reason is kept.
@@ -197,6 +201,10 @@
 	}
 	l.mu.Unlock()
 	n.view.setBlocked(blocked)
+	if version := n.RateLimits.Version(); version != snapshot.RateLimitsVersion && now.Sub(l.rateLimitsSentAt) >= minRateLimitsInterval {
+		l.rateLimitsSentAt = now
+		n.view.setRateLimitsVersion(version)
+	}
 	if snapshot.Config == nil {
 		return
 	}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
+	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/registry"
 	"github.com/cassiasill/cassiasill/internal/routes"
 )
@@ -74,9 +75,12 @@
 	Schema      Schema
 	GrantClient GrantClient
 	Reports     *Reports
-	PeerClient  *http.Client
-	Clock       boottime.Clock
-	Log         *zap.Logger
+	// RateLimits holds the limits that servers announce. The leader collects those of
+	// all hosts and passes them on.
+	RateLimits *ratelimit.Table
+	PeerClient *http.Client
+	Clock      boottime.Clock
+	Log        *zap.Logger
 }
 
 // Node runs one host's part in the coordination of the deployment, as a
@@ -143,6 +147,9 @@
 // NewNode returns a Node with an empty View.
 func NewNode(options Options) *Node {
 	options.Log = options.Log.Named("control")
+	if options.RateLimits == nil {
+		options.RateLimits = ratelimit.NewTable(options.Clock, options.Log)
+	}
 	n := &Node{Options: options, view: NewView(), history: newHistory(), tracker: registry.NewTracker(), storeReachable: true, startedAt: options.Clock(),
 		timing: timing{storeOutageTolerance: storeOutageTolerance, formerLeaderWait: storeOutageTolerance, grantExpiry: grantExpiry}}
 	n.view.OnChange(n.history.record)
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -85,6 +85,7 @@
 		snapshot = &Snapshot{}
 	}
 	out, _ := n.updateSince(snapshot, known)
+	out.RateLimits = n.RateLimits.All()
 	if snapshot.Config == nil {
 		out.Known = nil
 	}
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -29,6 +29,7 @@
 		return connect.NewResponse(&fleetpb.SyncResponse{}), nil
 	}
 	l.recordReport(r.Msg, n.Clock())
+	n.RateLimits.Merge(r.Msg.RateLimits, r.Msg.Host)
 	wait := min(time.Duration(r.Msg.WaitMillis)*time.Millisecond, syncWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -101,6 +102,10 @@
 			out.Blocked = append(out.Blocked, []byte(f))
 		}
 	}
+	out.Known.RateLimits = snapshot.RateLimitsVersion
+	if !sameTerm || snapshot.RateLimitsVersion != known.RateLimits {
+		out.RateLimits, hasUpdate = l.node.RateLimits.All(), true
+	}
 	return out, hasUpdate
 }
 
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -28,7 +28,7 @@
 // host has, from whatever source, and of the base list to which changes of
 // servers are to apply.
 func (n *Node) addVersions(known *fleetpb.Known, baseList *registry.List) *fleetpb.Known {
-	out := &fleetpb.Known{Term: known.Term, Blocked: known.Blocked, Placement: known.Placement, Assignments: make(map[string]int64)}
+	out := &fleetpb.Known{Term: known.Term, Blocked: known.Blocked, Placement: known.Placement, RateLimits: known.RateLimits, Assignments: make(map[string]int64)}
 	snapshot := n.view.Load()
 	if snapshot.Config != nil {
 		out.Config = snapshot.Config.Revision
@@ -98,6 +98,7 @@
 		}
 		n.view.setBlocked(blocked)
 	}
+	n.RateLimits.Merge(response.RateLimits, "leader")
 	n.view.setHosts(int(response.Hosts), response.Dispatchers)
 	n.setLargestCapacity(response.LargestCapacity)
 	n.mu.Lock()
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -25,6 +25,8 @@
 	Dispatchers map[string]string
 	// HostCount is the number of live hosts; 0 if unknown.
 	HostCount int
+	// RateLimitsVersion is the version of the rate limits that the leader passes on.
+	RateLimitsVersion uint64
 	// ConfigConfirmedAt and ServersConfirmedAt are when the store last confirmed the
 	// configuration and the servers.
 	ConfigConfirmedAt  boottime.Instant
@@ -216,6 +218,15 @@
 	})
 }
 
+// setRateLimitsVersion announces changed rate limits.
+func (v *View) setRateLimitsVersion(version uint64) {
+	v.update(func(next *Snapshot) bool {
+		changed := next.RateLimitsVersion != version
+		next.RateLimitsVersion = version
+		return changed
+	})
+}
+
 // setTerm raises the leader's term.
 func (v *View) setTerm(term int64) {
 	v.update(func(next *Snapshot) bool {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,11 +22,12 @@
 	schedulers map[string]*Scheduler
 	callbacks  map[uint64]func(Decision) // by request ID
 	wake       chan struct{}             // wakes Run when a request stays queued
+	rateLimits map[string]float64        // by server
 }
 
 // NewDispatcher returns a Dispatcher without services.
 func NewDispatcher() *Dispatcher {
-	return &Dispatcher{epoch: time.Now(), schedulers: make(map[string]*Scheduler), callbacks: make(map[uint64]func(Decision)), wake: make(chan struct{}, 1)}
+	return &Dispatcher{epoch: time.Now(), schedulers: make(map[string]*Scheduler), callbacks: make(map[uint64]func(Decision)), wake: make(chan struct{}, 1), rateLimits: make(map[string]float64)}
 }
 
 // Now returns the time since the Dispatcher was created.
@@ -40,10 +43,12 @@
 	scheduler := d.schedulers[service]
 	if scheduler == nil {
 		scheduler = NewScheduler(share, extra, nil)
+		scheduler.seed = rand.Uint64()
+		maps.Copy(scheduler.rateLimits, d.rateLimits)
 		d.schedulers[service] = scheduler
 	}
 	scheduler.ownerAt = owner
-	scheduler.SetShare(share, extra)
+	scheduler.SetShare(d.Now(), share, extra)
 	d.deliver(scheduler.SetServers(d.Now(), servers))
 }
 
@@ -56,6 +61,32 @@
 	}
 }
 
+// SetRateLimit sets the rate limit of a server, in requests per second of all hosts
+// together. A rate of 0 removes it.
+func (d *Dispatcher) SetRateLimit(server string, rate float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if rate > 0 {
+		d.rateLimits[server] = rate
+	} else {
+		delete(d.rateLimits, server)
+	}
+	for _, scheduler := range d.schedulers {
+		d.deliver(scheduler.SetRateLimit(d.Now(), server, rate))
+	}
+}
+
+// TakeTurn counts a request to a server that another dispatcher chose without regard
+// to its limit. It returns false, and when to retry, if the limit does not allow it.
+func (d *Dispatcher) TakeTurn(service, server string) (retryAfter time.Duration, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if scheduler := d.schedulers[service]; scheduler != nil {
+		return scheduler.TakeTurn(d.Now(), server)
+	}
+	return 0, true
+}
+
 // Acquire waits for a server for the request. After a decision that names a
 // server, Release must be called with the returned ID.
 func (d *Dispatcher) Acquire(ctx context.Context, request Request) (Decision, uint64) {
--- /dev/null
+++ b/internal/dispatch/pacer.go
@@ -0,0 +1,207 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// Parameters of the pace of requests to servers with a rate limit.
+const (
+	// burstWindow is the time whose requests a server may get at once after a pause,
+	// at least one request.
+	burstWindow = 500 * time.Millisecond
+	// localRateShare is the share of a limit that all hosts together may use while
+	// they place requests without the dispatcher. It is small for two reasons: others
+	// may still use the dispatcher, which spends the whole limit, and the turns of
+	// hosts are random, so that more of them than usual may fall into one second.
+	localRateShare = 0.25
+	// maxTurnWindow bounds how long the turn of a host lasts. An unused turn lapses:
+	// hosts that saved theirs could all send at once when the dispatcher fails.
+	maxTurnWindow = time.Second
+	// maxRetrySpread bounds how far ahead rejected callers are given times to return.
+	maxRetrySpread = 5 * time.Second
+	// maxLocalRetryAfter bounds the Retry-After while requests are placed without the
+	// dispatcher; another one is named within about this time.
+	maxLocalRetryAfter = 2 * time.Second
+)
+
+// pacer decides when a server may get its next request.
+type pacer interface {
+	// delay returns how long a request must wait that comes after ahead others.
+	delay(now Instant, ahead int) time.Duration
+	// take counts a request that is sent.
+	take(now Instant)
+	// setRate changes the rate, in requests per second.
+	setRate(now Instant, rate float64)
+	// interval is the mean time between two requests.
+	interval() time.Duration
+}
+
+// tokenBucket paces the requests of all hosts. It starts empty, because other hosts
+// may just have sent what the limit allows.
+type tokenBucket struct {
+	rate, tokens float64
+	updatedAt    Instant
+}
+
+func newTokenBucket(now Instant, rate float64) *tokenBucket {
+	return &tokenBucket{rate: rate, updatedAt: now}
+}
+
+func (b *tokenBucket) refill(now Instant) {
+	burst := max(1, b.rate*burstWindow.Seconds())
+	b.tokens = min(b.tokens+now.Sub(b.updatedAt).Seconds()*b.rate, burst)
+	b.updatedAt = now
+}
+
+func (b *tokenBucket) delay(now Instant, ahead int) time.Duration {
+	b.refill(now)
+	return fromSeconds((float64(ahead+1) - b.tokens) / b.rate)
+}
+
+func (b *tokenBucket) take(now Instant) {
+	b.refill(now)
+	b.tokens--
+}
+
+func (b *tokenBucket) setRate(now Instant, rate float64) {
+	b.refill(now)
+	b.rate = rate
+}
+
+func (b *tokenBucket) interval() time.Duration { return fromSeconds(1 / b.rate) }
+
+// turns paces the requests of one of many hosts that do not see each other's. Each
+// host has one turn per period, at a random time, so that the turns of all hosts are
+// spread evenly. What a host does not use is lost.
+type turns struct {
+	period time.Duration
+	next   Instant // start of the current or next turn
+}
+
+// newTurns returns turns at a rate. Phase, from 0 to 1, places them in the period.
+func newTurns(now Instant, rate, phase float64) *turns {
+	period := fromSeconds(1 / rate)
+	return &turns{period: period, next: now.Add(time.Duration(phase * float64(period)))}
+}
+
+// skipLapsed moves next to the first turn that has not ended.
+func (t *turns) skipLapsed(now Instant) {
+	window := min(t.period, maxTurnWindow)
+	if late := now.Sub(t.next) - window; late >= 0 {
+		t.next = t.next.Add((late/t.period + 1) * t.period)
+	}
+}
+
+func (t *turns) delay(now Instant, ahead int) time.Duration {
+	t.skipLapsed(now)
+	return max(t.next.Sub(now), 0) + time.Duration(ahead)*t.period
+}
+
+func (t *turns) take(now Instant) {
+	t.skipLapsed(now)
+	t.next = t.next.Add(t.period)
+}
+
+func (t *turns) setRate(now Instant, rate float64) {
+	t.skipLapsed(now)
+	period := fromSeconds(1 / rate)
+	t.next = now.Add(time.Duration(float64(t.next.Sub(now)) * (float64(period) / float64(t.period))))
+	t.period = period
+}
+
+func (t *turns) interval() time.Duration { return t.period }
+
+// fromSeconds converts to a duration from 1 ns to about 290 years; 0 or less is 0.
+func fromSeconds(seconds float64) time.Duration {
+	if seconds <= 0 {
+		return 0
+	}
+	return time.Duration(min(max(seconds*float64(time.Second), 1), math.MaxInt64/2))
+}
+
+// rateLimit is the limit of one server in a Scheduler.
+type rateLimit struct {
+	pacer
+	// local is true if the requests of other hosts are not known.
+	local bool
+	// promisedUntil is the latest time that a rejected caller was told to return at.
+	promisedUntil Instant
+}
+
+// retryAfter returns when a rejected caller should return, given when the request
+// could be sent. Callers get different times, as the limit serves only one at each.
+func (l *rateLimit) retryAfter(now Instant, wait time.Duration) time.Duration {
+	if l.local {
+		return min(wait, maxLocalRetryAfter)
+	}
+	at := min(max(now.Add(wait), l.promisedUntil.Add(l.interval())), now.Add(max(wait, maxRetrySpread)))
+	l.promisedUntil = at
+	return at.Sub(now)
+}
+
+// SetRateLimit sets the limit of a server, in requests per second of all hosts
+// together, and returns the resulting decisions. A rate of 0 removes it.
+func (sched *Scheduler) SetRateLimit(now Instant, server string, rate float64) []Decision {
+	if rate > 0 {
+		sched.rateLimits[server] = rate
+	} else {
+		delete(sched.rateLimits, server)
+	}
+	if s := sched.servers[server]; s != nil {
+		sched.updatePace(now, s)
+	}
+	return sched.Reschedule(now)
+}
+
+// updatePace adapts the pace of requests to a server to its limit and to this
+// Scheduler's share.
+func (sched *Scheduler) updatePace(now Instant, s *serverState) {
+	rate, local := sched.rateLimits[s.ID], sched.slotShare < 1
+	if local {
+		rate *= sched.slotShare * localRateShare
+	}
+	switch {
+	case rate <= 0:
+		s.limit = nil
+	case s.limit != nil && s.limit.local == local:
+		s.limit.setRate(now, rate)
+	case local:
+		s.limit = &rateLimit{pacer: newTurns(now, rate, hashToUnit(sched.seed, s.ID)), local: true}
+	default:
+		s.limit = &rateLimit{pacer: newTokenBucket(now, rate)}
+	}
+}
+
+// paceDelay returns how long the limit delays a request that comes after ahead
+// others.
+func (s *serverState) paceDelay(now Instant, ahead int) time.Duration {
+	if s.limit == nil {
+		return 0
+	}
+	return s.limit.delay(now, ahead)
+}
+
+// workCapacity returns the work per second that the server can serve within a share
+// of its slots and its limit, given the work of a request.
+func (s *serverState) workCapacity(now Instant, share, workSeconds float64) float64 {
+	capacity := s.effectiveSpeed(now) * float64(s.Slots) * share
+	if s.limit != nil {
+		capacity = min(capacity, workSeconds/s.limit.interval().Seconds())
+	}
+	return capacity
+}
+
+// TakeTurn counts a request to a server that another dispatcher chose without regard
+// to its limit. It returns false, and when to retry, if the limit does not allow it.
+func (sched *Scheduler) TakeTurn(now Instant, server string) (retryAfter time.Duration, ok bool) {
+	s := sched.servers[server]
+	if s == nil || s.limit == nil {
+		return 0, true
+	}
+	if wait := s.paceDelay(now, 0); wait > 0 {
+		return s.limit.retryAfter(now, wait), false
+	}
+	s.limit.take(now)
+	return 0, true
+}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -57,6 +57,8 @@
 	ReasonOverload Reason = "overload"  // can't be served in time
 	ReasonNoServer Reason = "no-server" // every server is excluded, or there is none
 	ReasonNoOwner  Reason = "no-owner"  // its key has no usable owner
+	// ReasonRateLimited: the rate limits of its servers do not allow it in time.
+	ReasonRateLimited Reason = "rate-limited"
 )
 
 // Decision is the outcome of scheduling one Request: a server or a
@@ -197,6 +199,7 @@
 	warmupEnd           Instant
 	offeredLoad         loadMeter // of requests for the server's keys
 	connections         idleConnections
+	limit               *rateLimit // nil if the server has none
 }
 
 // effectiveSpeed returns the estimated speed, reduced during the warmup.
@@ -228,6 +231,10 @@
 	queues        queueSet
 	inFlight      map[uint64]inFlightRequest
 	offeredLoad   loadMeter
+	// rateLimits holds the limits of servers in requests per second, also of servers
+	// that are not listed yet. Seed spreads the turns of hosts.
+	rateLimits map[string]float64
+	seed       uint64
 }
 
 // inFlightRequest is a request that has been assigned to a server.
@@ -243,12 +250,19 @@
 
 // NewScheduler returns a Scheduler for one service. Owner is nil if the service has no keys.
 func NewScheduler(share float64, extra int, owner func(position int) OwnerState) *Scheduler {
-	return &Scheduler{slotShare: share, extraInFlight: extra, ownerAt: owner, servers: make(map[string]*serverState), queues: newQueueSet(), inFlight: make(map[uint64]inFlightRequest)}
+	return &Scheduler{slotShare: share, extraInFlight: extra, ownerAt: owner, servers: make(map[string]*serverState), queues: newQueueSet(), inFlight: make(map[uint64]inFlightRequest), rateLimits: make(map[string]float64)}
 }
 
-// SetShare changes the share of the slots that the Scheduler may use.
-func (sched *Scheduler) SetShare(share float64, extra int) {
+// SetShare changes the share of the slots and rate limits that the Scheduler may use.
+func (sched *Scheduler) SetShare(now Instant, share float64, extra int) {
+	changed := share != sched.slotShare
 	sched.slotShare, sched.extraInFlight = share, extra
+	if !changed {
+		return
+	}
+	for _, s := range sched.sortedServers {
+		sched.updatePace(now, s)
+	}
 }
 
 // SetServers replaces the list of usable servers and returns the resulting
@@ -258,8 +272,9 @@
 	for _, listed := range list {
 		s := sched.servers[listed.ID]
 		if s == nil {
-			s = &serverState{warmupEnd: now.Add(listed.Warmup)}
+			s = &serverState{Server: Server{ID: listed.ID}, warmupEnd: now.Add(listed.Warmup)}
 			s.assumeSpeed(1, assumedWork)
+			sched.updatePace(now, s)
 		}
 		// The speed in the list is older than this Scheduler's own measurements.
 		if listed.Speed > 0 && listed.Speed != s.Speed && (sched.slotShare < 1 || s.sampleCount < minOwnSamples) {
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -49,14 +49,15 @@
 	}
 	var decisions []Decision
 	remaining := queue[:0]
-	var ahead time.Duration // work of the requests that stay queued before this one
+	var ahead backlog // the requests that stay queued before this one
 	for _, r := range queue {
 		decision, done := sched.decide(&snap, r, ahead)
 		if done {
 			decisions = append(decisions, decision)
 			continue
 		}
-		ahead += r.Work
+		ahead.count++
+		ahead.work += r.Work
 		remaining = append(remaining, r)
 	}
 	sched.queues.replace(name, remaining, len(queue))
@@ -66,6 +67,12 @@
 	return decisions
 }
 
+// backlog is the requests in a queue before one of them.
+type backlog struct {
+	count int
+	work  time.Duration
+}
+
 // snapshot is the state of the servers during one pass over a queue. Only now is
 // set for the queue of a server, whose requests can't go elsewhere.
 type snapshot struct {
@@ -78,6 +85,10 @@
 	// mayEject is true if at most maxEjectedShare of the servers fail too often;
 	// otherwise none is ejected.
 	mayEject bool
+	// limited holds the servers with a rate limit, and hasUnlimited is true if there
+	// are others.
+	limited      []*serverState
+	hasUnlimited bool
 }
 
 // takeSnapshot collects the state of all servers for one pass over a queue.
@@ -90,13 +101,18 @@
 		if s.failureRate > ejectionFailureRate {
 			ejected++
 		}
+		if s.limit != nil {
+			snap.limited = append(snap.limited, s)
+		} else {
+			snap.hasUnlimited = true
+		}
 		if now < s.pausedUntil {
 			continue
 		}
 		if s.failureRate <= ejectionFailureRate {
-			snap.capacity += speed * float64(s.Slots) * sched.slotShare
+			snap.capacity += s.workCapacity(now, sched.slotShare, s.meanExpectedSeconds)
 		}
-		if sched.hasRoom(s) {
+		if sched.hasRoom(s) && s.paceDelay(now, 0) == 0 {
 			snap.free = append(snap.free, s)
 		}
 	}
@@ -136,15 +152,16 @@
 }
 
 // decide assigns the request to a server, rejects it, or returns false to leave
-// it queued. Ahead is the work queued before it.
-func (sched *Scheduler) decide(snap *snapshot, r *queuedRequest, ahead time.Duration) (Decision, bool) {
+// it queued. Ahead is
+// what is queued before it.
+func (sched *Scheduler) decide(snap *snapshot, r *queuedRequest, ahead backlog) (Decision, bool) {
 	decision := Decision{ID: r.ID, QueueTime: snap.now.Sub(r.enqueuedAt)}
 	if sched.ownerAt != nil && r.Position >= 0 {
 		return sched.decideOwned(snap.now, r, decision, ahead)
 	}
 	if best := sched.pickServer(snap, r); best != nil {
 		decision = sched.assign(snap.now, r, best, decision)
-		if !sched.hasRoom(best) {
+		if !sched.hasRoom(best) || best.paceDelay(snap.now, 0) > 0 {
 			snap.free = slices.DeleteFunc(snap.free, func(s *serverState) bool { return s == best })
 		}
 		return decision, true
@@ -152,16 +169,42 @@
 	if sched.eligibleCount(r) == 0 {
 		return reject(decision, ReasonNoServer, minRetryAfter*4), true
 	}
-	wait := time.Duration(float64(ahead) / max(snap.capacity, minCapacity))
+	wait := time.Duration(float64(ahead.work) / max(snap.capacity, minCapacity))
+	limiting, delay := snap.paceDelay(r, ahead.count)
+	wait = max(wait, delay)
 	end := snap.now.Add(wait + time.Duration(float64(r.Work)/max(snap.meanSpeed, minCapacity)))
-	if end > r.Deadline || end > r.Target && sched.offeredLoad.current(snap.now) > fullLoadRatio*snap.capacity {
+	late := end > r.Target && (limiting == nil || r.enqueuedAt == snap.now)
+	if end > r.Deadline || late && sched.offeredLoad.current(snap.now) > fullLoadRatio*snap.capacity {
+		if limiting != nil && delay == wait {
+			return reject(decision, ReasonRateLimited, limiting.limit.retryAfter(snap.now, wait)), true
+		}
 		return reject(decision, ReasonOverload, wait), true
 	}
 	return decision, false
 }
 
+// paceDelay returns how long rate limits delay a request after ahead others, and the
+// server that can serve it first. Both are zero if a server without a limit exists.
+func (snap *snapshot) paceDelay(r *queuedRequest, ahead int) (*serverState, time.Duration) {
+	if snap.hasUnlimited {
+		return nil, 0
+	}
+	var first *serverState
+	var delay time.Duration
+	for _, s := range snap.limited {
+		if slices.Contains(r.Exclude, s.ID) {
+			continue
+		}
+		// The requests before this one are spread over the limited servers.
+		if d := s.paceDelay(snap.now, ahead/len(snap.limited)); first == nil || d < delay {
+			first, delay = s, d
+		}
+	}
+	return first, delay
+}
+
 // decideOwned decides about a request with a key, which only the owner can serve.
-func (sched *Scheduler) decideOwned(now Instant, r *queuedRequest, decision Decision, ahead time.Duration) (Decision, bool) {
+func (sched *Scheduler) decideOwned(now Instant, r *queuedRequest, decision Decision, ahead backlog) (Decision, bool) {
 	state := sched.ownerAt(r.Position)
 	s := sched.servers[state.Server]
 	if state.Moving || s == nil || slices.Contains(r.Exclude, state.Server) && s.pausedUntil > now {
@@ -172,13 +215,20 @@
 	}
 	speed := s.effectiveSpeed(now)
 	service := time.Duration(float64(r.Work) / speed)
-	if sched.hasRoom(s) && now >= s.pausedUntil {
+	delay := s.paceDelay(now, ahead.count)
+	if sched.hasRoom(s) && now >= s.pausedUntil && delay == 0 {
 		return sched.assign(now, r, s, decision), true
 	}
-	wait := time.Duration(float64(ahead+r.Work/2) / (speed * float64(s.Slots) * sched.slotShare))
-	wait = max(wait, s.pausedUntil.Sub(now))
+	wait := time.Duration(float64(ahead.work+r.Work/2) / (speed * float64(s.Slots) * sched.slotShare))
+	wait = max(wait, s.pausedUntil.Sub(now), delay)
 	end := now.Add(wait + service)
-	if end > r.Deadline || end > r.Target && s.offeredLoad.current(now) > fullLoadRatio*speed*float64(s.Slots)*sched.slotShare {
+	// A request that waits for a server with a rate limit keeps its place up to its
+	// deadline: it was queued for a time at which the server accepts it.
+	late := end > r.Target && (s.limit == nil || r.enqueuedAt == now)
+	if end > r.Deadline || late && s.offeredLoad.current(now) > fullLoadRatio*s.workCapacity(now, sched.slotShare, r.Work.Seconds()) {
+		if s.limit != nil && delay == wait {
+			return reject(decision, ReasonRateLimited, s.limit.retryAfter(now, wait)), true
+		}
 		return reject(decision, ReasonOverload, wait), true
 	}
 	return decision, false
@@ -197,6 +247,9 @@
 	sched.inFlight[r.ID] = inFlightRequest{server: s.ID, hostID: r.HostID, assignedAt: now, work: r.Work, saturated: s.inFlightCount >= s.Slots}
 	s.inFlightCount++
 	s.lastAssignedAt = now
+	if s.limit != nil {
+		s.limit.take(now)
+	}
 	decision.Server, decision.Speed, decision.Saturated = s.ID, s.effectiveSpeed(now), s.inFlightCount > s.Slots
 	return decision
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -203,6 +203,7 @@
 		if decision.Server == "" {
 			return exchange.Result{}, h.placementError(q, decision)
 		}
+		h.RateLimits.CountAllowed(decision.Server)
 		result := h.attempt(ctx, q, decision, ticket)
 		v := decideAfterAttempt(q.route.Kind, q.route.MaxAttempts, q.attempts, result)
 		if v.action == actionRetry && !h.mayRetry(q, v) {
@@ -350,6 +351,8 @@
 		kind = apierror.KindNoOwner
 	case dispatch.ReasonNoServer:
 		kind = apierror.KindNoUpstream
+	case dispatch.ReasonRateLimited:
+		kind = apierror.KindRateLimited
 	}
 	return &apierror.Error{Kind: kindIfNotExecuted(q.attempts, kind), RetryAfter: decision.RetryAfter,
 		Detail: "waited " + decision.QueueTime.Round(time.Millisecond).String()}
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -68,10 +68,11 @@
 	assert.NilError(t, err)
 	core, logs := observer.New(zap.InfoLevel)
 	p.logs = logs
+	limits := ratelimit.NewTable(boottime.Now, zap.New(core))
 	budget := NewRetryBudget(0.2, 100, 10*time.Second)
 	budget.SetHosts(1)
 	handler := NewHandler(Options{HeaderNames: headerNames, View: control.NewStaticView(snapshot), Reports: control.NewReports(),
-		Placer: placing.NewPlacer("", exchange.Dial, local, central), ServerPools: pools, RetryBudget: budget, RateLimits: ratelimit.NewTable(boottime.Now, zap.New(core)), Metrics: instruments, Log: zap.New(core)})
+		Placer: placing.NewPlacer("", exchange.Dial, local, central, limits), ServerPools: pools, RetryBudget: budget, RateLimits: limits, Metrics: instruments, Log: zap.New(core)})
 	frontend := httptest.NewServer(handler)
 	t.Cleanup(frontend.Close)
 	p.url = frontend.URL
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -22,5 +22,6 @@
 	headers.CopyEndToEnd(out, in, nil)
 	out.Del(names.Load)
 	out.Del(names.NotExecuted)
+	out.Del(names.RateLimit)
 	return out
 }
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -83,11 +83,11 @@
 	if err := registerRateLimitGauges(options.Metrics.Meter("ratelimit"), limits); err != nil {
 		return nil, err
 	}
-	controls := newControlService(options)
+	controls := newControlService(options, limits)
 	if err := registerGauges(options.Metrics.Meter("control"), controls.node); err != nil {
 		return nil, err
 	}
-	dispatching := newDispatchService(options)
+	dispatching := newDispatchService(options, limits)
 	budget := entry.NewRetryBudget(options.RetryShare, options.RetryBurst, options.RetryWindow)
 	entries := &entryService{options: options, metrics: options.Metrics.entry, budget: budget, limits: limits}
 	admin := &adminService{options: options, metrics: options.Metrics.Metrics}
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -64,6 +64,7 @@
 	}{
 		{"ratelimit.limit", "Requests per second that the server accepts from all hosts together.", func(s ratelimit.Status) float64 { return s.Rate }},
 		{"ratelimit.in_force_seconds", "Time since the server first announced a limit.", func(s ratelimit.Status) float64 { return table.Now().Sub(s.Since).Seconds() }},
+		{"ratelimit.allowed", "Requests that this host was allowed to send to the server since then.", func(s ratelimit.Status) float64 { return float64(s.Allowed) }},
 		{"ratelimit.sent", "Requests that this host sent to the server since then.", func(s ratelimit.Status) float64 { return float64(s.Sent) }},
 	}
 	for _, g := range gauges {
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -29,11 +29,11 @@
 	server  *http.Server
 }
 
-func newControlService(options Options) *controlService {
+func newControlService(options Options, limits *ratelimit.Table) *controlService {
 	return &controlService{options: options, node: control.NewNode(control.Options{
 		Host: options.Name, Address: options.PeerAddress, DispatchAddress: options.DispatchAddress, Capacity: options.CapacityCores,
 		Seeds: options.Seeds, Store: options.Store, Schema: options.Schema, GrantClient: options.GrantClient,
-		Reports: control.NewReports(), PeerClient: exchange.NewClient(options.Dial), Clock: options.Clock, Log: options.Log,
+		Reports: control.NewReports(), RateLimits: limits, PeerClient: exchange.NewClient(options.Dial), Clock: options.Clock, Log: options.Log,
 	})}
 }
 
@@ -69,12 +69,13 @@
 	options        Options
 	local, central *dispatch.Dispatcher
 	placer         *placing.Placer
+	limits         *ratelimit.Table
 }
 
-func newDispatchService(options Options) *dispatchService {
+func newDispatchService(options Options, limits *ratelimit.Table) *dispatchService {
 	local, central := dispatch.NewDispatcher(), dispatch.NewDispatcher()
-	return &dispatchService{options: options, local: local, central: central,
-		placer: placing.NewPlacer(options.DispatchAddress, options.Dial, local, central)}
+	return &dispatchService{options: options, local: local, central: central, limits: limits,
+		placer: placing.NewPlacer(options.DispatchAddress, options.Dial, local, central, limits)}
 }
 
 func (s *dispatchService) Name() string       { return nameDispatch }
@@ -93,7 +94,7 @@
 	}
 	registry.Go(nameDispatch+" local", s.local.Run)
 	registry.Go(nameDispatch+" central", s.central.Run)
-	server := placing.NewServer(s.central)
+	server := placing.NewServer(s.central, s.limits)
 	registry.Go(nameDispatch+" server", func(ctx context.Context) error { return server.Serve(ctx, listener) })
 	return nil
 }
--- a/internal/placing/client.go
+++ b/internal/placing/client.go
@@ -10,6 +10,7 @@
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/ratelimit"
 )
 
 // Timeouts of a client of a dispatcher.
@@ -32,6 +33,7 @@
 	address string
 	dial    exchange.DialFunc
 	group   *conc.WaitGroup
+	limits  *ratelimit.Table
 
 	mu           sync.Mutex
 	conn         *frameConn
@@ -48,8 +50,8 @@
 	ok       bool
 }
 
-func newClient(address string, dial exchange.DialFunc, group *conc.WaitGroup) *client {
-	return &client{address: address, dial: dial, group: group, pending: make(map[uint64]chan reply)}
+func newClient(address string, dial exchange.DialFunc, group *conc.WaitGroup, limits *ratelimit.Table) *client {
+	return &client{address: address, dial: dial, group: group, limits: limits, pending: make(map[uint64]chan reply)}
 }
 
 // ensureConnected reports whether the client is connected. If not, it starts to
@@ -72,6 +74,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
 	conn, err := c.dial(ctx, "tcp", c.address)
+	known := c.limits.All()
 	c.mu.Lock()
 	c.connecting = false
 	if err != nil {
@@ -80,15 +83,21 @@
 		return
 	}
 	fc := newFrameConn(conn)
+	// The limits are queued before any request, so that a new dispatcher knows them
+	// before it places one.
+	fc.enqueue(func(f *fleetpb.DispatchFrame) { f.RateLimits = known })
 	c.conn, c.lastReceived = fc, time.Now()
 	c.mu.Unlock()
 	c.group.Go(fc.writeFrames)
-	fc.readFrames(c.handleFrame)
+	fc.readFrames(func(frame *fleetpb.DispatchFrame) { c.handleFrame(fc, frame) })
 	c.disconnect(fc)
 }
 
 // handleFrame passes decisions on to the requests that wait for them.
-func (c *client) handleFrame(frame *fleetpb.DispatchFrame) {
+func (c *client) handleFrame(fc *frameConn, frame *fleetpb.DispatchFrame) {
+	if frame.PacesRequests {
+		fc.pacesRequests.Store(true)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastReceived = time.Now()
@@ -195,10 +204,11 @@
 	}
 }
 
-// sendDone reports to the dispatcher how a request ended.
-func sendDone(fc *frameConn, id uint64, r dispatch.Result) {
+// sendDone reports to the dispatcher how a request ended and what is known about the
+// server's rate limit.
+func sendDone(fc *frameConn, id uint64, r dispatch.Result, limit *fleetpb.RateLimit) {
 	fc.enqueue(func(f *fleetpb.DispatchFrame) {
 		f.Done = append(f.Done, &fleetpb.DispatchDone{Id: id, Outcome: uint32(r.Outcome), HasLoad: r.HasLoad,
-			Running: uint32(r.Running), Waiting: uint32(r.Waiting)})
+			Running: uint32(r.Running), Waiting: uint32(r.Waiting), RateLimit: limit})
 	})
 }
--- a/internal/placing/frameconn.go
+++ b/internal/placing/frameconn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -27,6 +28,9 @@
 // during a write are batched into the next frame.
 type frameConn struct {
 	conn net.Conn
+	// pacesRequests is true if the dispatcher at the other end keeps the servers' rate
+	// limits.
+	pacesRequests atomic.Bool
 
 	mu           sync.Mutex
 	pending      *fleetpb.DispatchFrame
--- a/internal/placing/placer.go
+++ b/internal/placing/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/ratelimit"
 )
 
 // Placer acquires servers for this host's requests, from the dispatcher of the
@@ -20,6 +22,7 @@
 	// local chooses servers for this host alone, with its share of their slots.
 	// central chooses for all hosts, for services whose dispatcher is this host.
 	local, central *dispatch.Dispatcher
+	limits         *ratelimit.Table
 	group          conc.WaitGroup
 
 	mu                  sync.Mutex
@@ -32,15 +35,20 @@
 // connection.
 type AcquiredSlot struct {
 	service    string
+	server     string
 	id         uint64
 	dispatcher *dispatch.Dispatcher
 	conn       *frameConn
 }
 
 // NewPlacer returns a Placer that uses the local dispatcher for all services until
-// SetDispatchers is called.
-func NewPlacer(self string, dial exchange.DialFunc, local, central *dispatch.Dispatcher) *Placer {
-	return &Placer{selfAddress: self, dial: dial, local: local, central: central, clients: make(map[string]*client)}
+// SetDispatchers is called. Both dispatchers follow the limits of the table.
+func NewPlacer(self string, dial exchange.DialFunc, local, central *dispatch.Dispatcher, limits *ratelimit.Table) *Placer {
+	limits.OnChange(func(limit ratelimit.Limit) {
+		local.SetRateLimit(limit.ID, limit.Rate)
+		central.SetRateLimit(limit.ID, limit.Rate)
+	})
+	return &Placer{selfAddress: self, dial: dial, local: local, central: central, limits: limits, clients: make(map[string]*client)}
 }
 
 // SetDispatchers sets the dispatcher's address for each service.
@@ -55,7 +63,7 @@
 	for _, address := range dispatchers {
 		used[address] = true
 		if p.clients[address] == nil && address != p.selfAddress {
-			p.clients[address] = newClient(address, p.dial, &p.group)
+			p.clients[address] = newClient(address, p.dial, &p.group, p.limits)
 			p.clients[address].ensureConnected()
 		}
 	}
@@ -73,6 +81,27 @@
 // Acquire waits for a server for the request. After a decision that names a
 // server, Release must be called with the AcquiredSlot.
 func (p *Placer) Acquire(ctx context.Context, request dispatch.Request) (dispatch.Decision, AcquiredSlot) {
+	for {
+		decision, slot := p.acquire(ctx, request)
+		slot.server = decision.Server
+		if decision.Server == "" || slot.conn == nil || slot.conn.pacesRequests.Load() {
+			return decision, slot
+		}
+		// The dispatcher runs a build that does not know rate limits.
+		retryAfter, ok := p.local.TakeTurn(request.Service, decision.Server)
+		if ok {
+			return decision, slot
+		}
+		p.Release(slot, dispatch.Result{Outcome: dispatch.Abandoned})
+		if request.Position != dispatch.NoPosition {
+			return dispatch.Decision{Reason: dispatch.ReasonRateLimited, RetryAfter: retryAfter, QueueTime: decision.QueueTime}, AcquiredSlot{}
+		}
+		request.Exclude = append(slices.Clone(request.Exclude), decision.Server)
+	}
+}
+
+// acquire is Acquire without regard to rate limits that the dispatcher does not know.
+func (p *Placer) acquire(ctx context.Context, request dispatch.Request) (dispatch.Decision, AcquiredSlot) {
 	p.mu.Lock()
 	address := p.dispatcherAddresses[request.Service]
 	c := p.clients[address]
@@ -103,7 +132,7 @@
 	case t.dispatcher != nil:
 		t.dispatcher.Release(t.service, t.id, result)
 	case t.conn != nil:
-		sendDone(t.conn, t.id, result)
+		sendDone(t.conn, t.id, result, p.limits.Get(t.server))
 	}
 }
 
--- a/internal/placing/placing_test.go
+++ b/internal/placing/placing_test.go
@@ -7,10 +7,13 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/ratelimit"
 )
 
 // newDispatcher returns a dispatcher with one server that has one slot.
@@ -20,6 +23,9 @@
 	return d
 }
 
+// newTable returns an empty table of rate limits.
+func newTable() *ratelimit.Table { return ratelimit.NewTable(boottime.Now, zap.NewNop()) }
+
 // startServer serves the dispatcher to other hosts and returns the address.
 func startServer(t *testing.T, d *dispatch.Dispatcher) string {
 	t.Helper()
@@ -27,7 +33,7 @@
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group conc.WaitGroup
-	group.Go(func() { _ = NewServer(d).Serve(ctx, listener) })
+	group.Go(func() { _ = NewServer(d, newTable()).Serve(ctx, listener) })
 	t.Cleanup(func() {
 		cancel()
 		group.Wait()
@@ -38,7 +44,7 @@
 // connectedPlacer returns a Placer that is connected to the dispatcher at address.
 func connectedPlacer(t *testing.T, address string) *Placer {
 	t.Helper()
-	p := NewPlacer("self", exchange.Dial, newDispatcher("local"), newDispatcher("own-central"))
+	p := NewPlacer("self", exchange.Dial, newDispatcher("local"), newDispatcher("own-central"), newTable())
 	t.Cleanup(p.Close)
 	p.SetDispatchers(map[string]string{"svc": address})
 	for range 100 {
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -12,11 +12,13 @@
 
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
+	"github.com/cassiasill/cassiasill/internal/ratelimit"
 )
 
 // Server lets other hosts use a dispatcher of this host.
 type Server struct {
 	dispatcher *dispatch.Dispatcher
+	limits     *ratelimit.Table
 	group      conc.WaitGroup
 	lastHostID atomic.Uint64 // ID of the latest session
 
@@ -25,9 +27,10 @@
 	closed bool
 }
 
-// NewServer returns a Server for the dispatcher.
-func NewServer(dispatcher *dispatch.Dispatcher) *Server {
-	return &Server{dispatcher: dispatcher, conns: make(map[*frameConn]struct{})}
+// NewServer returns a Server for the dispatcher. The rate limits that other hosts
+// report go into the table, which the dispatcher follows.
+func NewServer(dispatcher *dispatch.Dispatcher, limits *ratelimit.Table) *Server {
+	return &Server{dispatcher: dispatcher, limits: limits, conns: make(map[*frameConn]struct{})}
 }
 
 // Serve accepts connections of hosts until ctx ends.
@@ -48,10 +51,11 @@
 			fc.close()
 			continue
 		}
+		fc.enqueue(func(f *fleetpb.DispatchFrame) { f.PacesRequests = true })
 		s.group.Go(fc.writeFrames)
 		s.group.Go(func() {
 			defer s.removeConn(fc)
-			newHostSession(s.lastHostID.Add(1), s.dispatcher, fc).serve()
+			newHostSession(s.lastHostID.Add(1), s.dispatcher, s.limits, fc).serve()
 		})
 	}
 }
@@ -86,6 +90,7 @@
 type hostSession struct {
 	hostID     uint64 // unique per session; 0 is this host itself
 	dispatcher *dispatch.Dispatcher
+	limits     *ratelimit.Table
 	conn       *frameConn
 
 	mu       sync.Mutex
@@ -99,8 +104,8 @@
 	id      uint64 // request ID in the dispatcher
 }
 
-func newHostSession(host uint64, dispatcher *dispatch.Dispatcher, fc *frameConn) *hostSession {
-	return &hostSession{hostID: host, dispatcher: dispatcher, conn: fc, requests: make(map[uint64]submittedRequest)}
+func newHostSession(host uint64, dispatcher *dispatch.Dispatcher, limits *ratelimit.Table, fc *frameConn) *hostSession {
+	return &hostSession{hostID: host, dispatcher: dispatcher, limits: limits, conn: fc, requests: make(map[uint64]submittedRequest)}
 }
 
 // serve handles frames until the connection ends, then releases all requests of
@@ -129,7 +134,12 @@
 	if frame.Ping {
 		h.conn.enqueue(func(*fleetpb.DispatchFrame) {})
 	}
+	// Limits come first: the requests of this frame are subject to them.
+	h.limits.Merge(frame.RateLimits, "host")
 	for _, done := range frame.Done {
+		if done.RateLimit != nil {
+			h.limits.Merge([]*fleetpb.RateLimit{done.RateLimit}, "host")
+		}
 		if submitted, ok := h.removeRequest(done.Id); ok {
 			h.cancelOrRelease(submitted, dispatch.Result{Outcome: dispatch.Outcome(done.Outcome), HasLoad: done.HasLoad,
 				Running: int(done.Running), Waiting: int(done.Waiting)})
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -42,8 +42,9 @@
 // Status is a Limit with what this host has done about it.
 type Status struct {
 	Limit
-	// Sent and Rejected count this host's requests since the limit was announced.
-	Sent, Rejected int64
+	// Allowed counts the requests that this host was allowed to send since the limit
+	// was announced, and Sent those that it sent.
+	Allowed, Sent int64
 }
 
 // entry is a server's limit in a Table.
@@ -80,6 +81,13 @@
 	t.onChange = append(t.onChange, f)
 }
 
+// Version changes with each limit that begins, changes or ends.
+func (t *Table) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
 // Observe records what a response to a request that was sent at sentAt says.
 //
 // The end of a limit counts from sentAt and its announcement from now: a response
@@ -145,7 +153,7 @@
 // announce logs a changed limit and tells the observers.
 func (t *Table) announce(old Status, known *entry, source string) {
 	if old.Rate == 0 || old.Incarnation != known.Incarnation {
-		known.Sent, known.Rejected = 0, 0
+		known.Allowed, known.Sent = 0, 0
 	}
 	t.version++
 	message := "ratelimit: limit ended"
@@ -159,19 +167,28 @@
 	}
 	if message != "" {
 		t.log.Info(message, zap.String("server", known.ID), zap.String("service", known.Service), zap.Float64("rate", known.Rate), zap.Float64("former_rate", old.Rate),
-			zap.String("source", source), zap.Duration("in_force", t.clock().Sub(cmp.Or(old.Since, known.Since))), zap.Int64("sent", old.Sent), zap.Int64("rejected", old.Rejected))
+			zap.String("source", source), zap.Duration("in_force", t.clock().Sub(cmp.Or(old.Since, known.Since))), zap.Int64("allowed", old.Allowed), zap.Int64("sent", old.Sent))
 	}
 	for _, f := range t.onChange {
 		f(known.Limit)
 	}
 }
 
-// CountSent counts a request that this host sent to a server.
+// CountAllowed counts a request that this host may send to a server.
+func (t *Table) CountAllowed(server string) {
+	t.count(server, func(s *Status) { s.Allowed++ })
+}
+
+// CountSent counts a request that this host has sent to a server.
 func (t *Table) CountSent(server string) {
+	t.count(server, func(s *Status) { s.Sent++ })
+}
+
+func (t *Table) count(server string, add func(*Status)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.entries[server]; e != nil && e.Rate > 0 {
-		e.Sent++
+		add(&e.Status)
 	}
 }
 
@@ -193,6 +210,9 @@
 		case now.Sub(e.ReportedAt) > endedTTL && (!listed || e.Rate == 0):
 			delete(t.entries, id)
 			t.version++
+			for _, f := range t.onChange {
+				f(Limit{Server: e.Server})
+			}
 		}
 	}
 }
