--- a/internal/placing/placing_test.go
+++ b/internal/placing/placing_test.go
@@ -27,13 +27,14 @@
 func newTable() *ratelimit.Table { return ratelimit.NewTable(boottime.Now, zap.NewNop()) }
 
 // startServer serves the dispatcher to other hosts and returns the address.
-func startServer(t *testing.T, d *dispatch.Dispatcher) string {
+func startServer(t *testing.T, d *dispatch.Dispatcher, limits *ratelimit.Table) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
+	server := NewServer(d, limits)
 	var group conc.WaitGroup
-	group.Go(func() { _ = NewServer(d, newTable()).Serve(ctx, listener) })
+	group.Go(func() { _ = server.Serve(ctx, listener) })
 	t.Cleanup(func() {
 		cancel()
 		group.Wait()
@@ -67,7 +68,7 @@
 
 // Guards against two hosts that use the same free slot.
 func TestHostsShareOneQueue(t *testing.T) {
-	address := startServer(t, newDispatcher("s1"))
+	address := startServer(t, newDispatcher("s1"), newTable())
 	a, b := connectedPlacer(t, address), connectedPlacer(t, address)
 	first, ticket := a.Acquire(context.Background(), a.newRequest())
 	assert.Equal(t, first.Server, "s1")
@@ -107,7 +108,7 @@
 
 // Guards against slots that stay taken after the loss of the host that used them.
 func TestLostHostFreesItsSlots(t *testing.T) {
-	address := startServer(t, newDispatcher("s1"))
+	address := startServer(t, newDispatcher("s1"), newTable())
 	a, b := connectedPlacer(t, address), connectedPlacer(t, address)
 	_, _ = a.Acquire(context.Background(), a.newRequest())
 	a.SetDispatchers(nil) // closes its connection
@@ -117,7 +118,7 @@
 
 // Guards against assigning a slot to a request that was canceled.
 func TestCanceledRequestLeavesTheQueue(t *testing.T) {
-	address := startServer(t, newDispatcher("s1"))
+	address := startServer(t, newDispatcher("s1"), newTable())
 	p := connectedPlacer(t, address)
 	_, ticket := p.Acquire(context.Background(), p.newRequest())
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
