--- a/internal/control/ratelimit_test.go
+++ b/internal/control/ratelimit_test.go
@@ -69,6 +69,45 @@
 	})
 }
 
+// Guards against a new leader without the limits that only other hosts know.
+func TestNewLeaderAsksForRateLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 5, 15, nil)
+		time.Sleep(6 * time.Second)
+		leader := c.leader()
+		var followers []*testHost
+		for _, h := range c.hosts {
+			if h != leader {
+				followers = append(followers, h)
+			}
+		}
+		next := followers[0]
+		c.setLinks(next, followers[1:], true)
+		c.setLinks(next, []*testHost{leader}, true)
+		c.hear(followers[1].address, 4)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, c.hostsWithLimit(4), 3)
+		for _, h := range followers[1:] {
+			h.node.Retire() // so that the host without the limit leads
+		}
+		leader.cancel()
+		delete(c.hosts, leader.address)
+		c.setLinks(next, followers[1:], false)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, next.node.Leading())
+		assert.Equal(t, c.hostsWithLimit(4), 3)
+		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
+	})
+}
+
+// setLinks blocks or unblocks the links between a host and others.
+func (c *cluster) setLinks(h *testHost, others []*testHost, blocked bool) {
+	for _, other := range others {
+		c.setLinkBlocked(h.name, other.name, blocked)
+		c.setLinkBlocked(other.name, h.name, blocked)
+	}
+}
+
 // Guards against a host that starts while there is neither leader nor store and
 // sends without regard to the limits that the others know.
 func TestNewHostLearnsRateLimitsFromPeersDuringOutage(t *testing.T) {
--- a/internal/dispatch/pacer_test.go
+++ b/internal/dispatch/pacer_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -193,3 +194,14 @@
 	b.setRate(10*second, 1)
 	assert.Assert(t, b.delay(10*second, 1) > 0, "the tokens of a former limit are spent under a lower one")
 }
+
+// Guards against the limit of a server whose service a host serves only later.
+func TestRateLimitOfUnknownService(t *testing.T) {
+	d := NewDispatcher()
+	d.SetRateLimit("a", 0.01)
+	d.SetService("svc", 1, 0, nil, []Server{{ID: "a", Slots: 2}})
+	r := newRequest(1, d.Now())
+	r.Service = "svc"
+	decision, _ := d.Acquire(context.Background(), r)
+	assert.Equal(t, decision.Reason, ReasonRateLimited)
+}
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -27,7 +27,7 @@
 )
 
 var headerNames = exchange.HeaderNames{RequestID: "X-Id", DeadlineMillis: "X-Deadline", Signature: "X-Signature", ExpectInstance: "X-Expect",
-	Instance: "X-Instance", Load: "X-Load", NotExecuted: "X-Refused", KeyPosition: "X-Key"}
+	Instance: "X-Instance", Load: "X-Load", NotExecuted: "X-Refused", KeyPosition: "X-Key", RateLimit: "X-Limit"}
 
 // testHost is a host that forwards requests to test servers.
 type testHost struct {
@@ -210,3 +210,35 @@
 	assert.Equal(t, status, 413)
 	assert.Equal(t, p.executions.Load(), int64(0))
 }
+
+// Guards against callers that see the limits of servers, which are for hosts.
+func TestRateLimitIsNotForwarded(t *testing.T) {
+	p := newTestHost(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Limit", "1.5")
+		respondOK(w, r)
+	})
+	_, _, header, err := p.do(t, "GET", "/safe/x", "")
+	assert.NilError(t, err)
+	assert.Equal(t, header.Get("X-Limit"), "")
+	assert.Equal(t, p.logs.FilterMessage("ratelimit: limit announced").Len(), 1)
+}
+
+// Guards against a rejection that the log and the status do not distinguish from
+// overload, and against one without a time to return at.
+func TestRateLimitedRequestIsRejectedAtOnce(t *testing.T) {
+	p := newTestHost(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Limit", "0.1")
+		respondOK(w, r)
+	})
+	_, _, _, err := p.do(t, "GET", "/safe/x", "")
+	assert.NilError(t, err)
+	started := time.Now()
+	status, body, header, err := p.do(t, "POST", "/unsafe/x", "data", "X-Id", "id-2")
+	assert.NilError(t, err)
+	assert.Equal(t, fmt.Sprintf("%d %s", status, body), "503 rate-limited\n")
+	after, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after > 8, "%g s for a limit of one request in 10 s", after)
+	assert.Assert(t, time.Since(started) < 200*time.Millisecond)
+	assert.Equal(t, p.executions.Load(), int64(1))
+}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -17,7 +17,7 @@
 )
 
 var headerNames = HeaderNames{RequestID: "X-Id", DeadlineMillis: "X-Deadline", Signature: "X-Signature", ExpectInstance: "X-Expect",
-	Instance: "X-Instance", Load: "X-Load", NotExecuted: "X-Refused", KeyPosition: "X-Key"}
+	Instance: "X-Instance", Load: "X-Load", NotExecuted: "X-Refused", KeyPosition: "X-Key", RateLimit: "X-Limit"}
 
 // servePool starts a server that calls respond for request n of each connection,
 // and returns a pool for it.
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -78,6 +78,7 @@
 	sentBefore := *now
 	*now = now.Add(time.Second)
 	table.Observe(testServer, Limited, 1.5, sentBefore)
+	*now = now.Add(time.Millisecond)
 	table.Observe(testServer, Unlimited, 0, sentBefore)
 	assert.Equal(t, rates(table), "i-1=1.5")
 	*now = now.Add(time.Second)
