Keep the count of hosts when the leader is lost

Callers saw nothing that can be named; servers may have got more retries and, while a dispatcher was silent, more requests than their share.

Cause: a new leader counts the hosts that have synced in its term. At first that is itself, and it tells this to each host that syncs. Each then takes the whole of a server's slots and rate limit for its own, and refills its part of the retry burst as if it were alone, until the others have synced.

Change: for hostWindow (3 s), after which a silent host no longer counts, a new leader does not go below the former count. A count that is too high for 3 s makes shares smaller, which is the safe side.

--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -62,7 +62,7 @@
 		}
 		return
 	}
-	l := &leadership{node: n, term: result.Revision, lease: lease, startedAt: startedAt, leaseConfirmedAt: startedAt, ended: make(chan struct{}),
+	l := &leadership{node: n, term: result.Revision, lease: lease, startedAt: startedAt, leaseConfirmedAt: startedAt, ended: make(chan struct{}), formerHostCount: n.view.Load().HostCount,
 		formerLeaders: former, formerStoppedAt: startedAt, hosts: make(map[string]peerHost), loads: make(map[string]*loadMeter),
 		speeds: newSpeedMeter(), crashes: newCrashTable(), managers: make(map[string]*assignmentManager), addresses: make(map[string]string), wakeups: make(chan struct{}, 1)}
 	n.mu.Lock()
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -56,6 +56,8 @@
 	lease     store.LeaseID
 	startedAt boottime.Instant
 	ended     chan struct{}
+	// formerHostCount is the number of live hosts before this term; 0 if unknown.
+	formerHostCount int
 
 	mu               sync.Mutex
 	endReason        string // why it ended; empty while it lasts
@@ -300,6 +302,11 @@
 		}
 		hosts++
 	}
+	if now.Sub(l.startedAt) < hostWindow {
+		// Until every live host has had time to sync, the former leader's count holds.
+		// Hosts take their shares by it, and a low count would add up to too much.
+		hosts = max(hosts, l.formerHostCount)
+	}
 	dispatchers := l.chooseDispatchers(now)
 	l.chooseRelays()
 	succession := l.evaluateSuccession(now)
