Keep blocking requests that crash servers when the leader is lost

Callers whose requests crash servers could do so three times more after each change of leader.

Cause: crashes are counted in the leader's memory. A new leader started with an empty table and told all hosts that nothing was blocked.

Change: a new leader starts with what the former one had blocked, which every host knows.

--- a/internal/control/crashes.go
+++ b/internal/control/crashes.go
@@ -29,11 +29,23 @@
 
 // suspectRequest is a request that may crash servers.
 type suspectRequest struct {
-	servers     map[string]bool
+	servers map[string]bool
+	// blocked is true if a former leader had blocked the request.
+	blocked     bool
 	lastCrashAt boottime.Instant
 }
 
-func newCrashTable() *crashTable { return &crashTable{suspects: make(map[string]*suspectRequest)} }
+// newCrashTable returns a table with the requests that the former leader had blocked.
+// The servers that they crashed are not known, and the time starts anew.
+func newCrashTable(blocked map[string]bool, now boottime.Instant) *crashTable {
+	t := &crashTable{suspects: make(map[string]*suspectRequest)}
+	for fingerprint := range blocked {
+		t.suspects[fingerprint] = &suspectRequest{servers: make(map[string]bool), blocked: true, lastCrashAt: now}
+	}
+	return t
+}
+
+func (s *suspectRequest) isBlocked() bool { return s.blocked || len(s.servers) >= crashesToBlock }
 
 // record adds one crash report.
 func (t *crashTable) record(c *fleetpb.Crash, now boottime.Instant) {
@@ -42,7 +54,7 @@
 	if c.Completed {
 		// A request that completes does not crash servers: the reported crashes
 		// were connection failures.
-		if s != nil && len(s.servers) < crashesToBlock {
+		if s != nil && !s.isBlocked() {
 			delete(t.suspects, key)
 		}
 		return
@@ -65,7 +77,7 @@
 		switch {
 		case now.Sub(s.lastCrashAt) > suspicionTTL:
 			delete(t.suspects, key)
-		case len(s.servers) >= crashesToBlock:
+		case s.isBlocked():
 			out[key] = true
 		}
 	}
--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -64,7 +64,7 @@
 	}
 	l := &leadership{node: n, term: result.Revision, lease: lease, startedAt: startedAt, leaseConfirmedAt: startedAt, ended: make(chan struct{}), formerHostCount: n.view.Load().HostCount,
 		formerLeaders: former, formerStoppedAt: startedAt, hosts: make(map[string]peerHost), loads: make(map[string]*loadMeter),
-		speeds: newSpeedMeter(), crashes: newCrashTable(), managers: make(map[string]*assignmentManager), addresses: make(map[string]string), wakeups: make(chan struct{}, 1)}
+		speeds: newSpeedMeter(), crashes: newCrashTable(n.view.Load().BlockedFingerprints, startedAt), managers: make(map[string]*assignmentManager), addresses: make(map[string]string), wakeups: make(chan struct{}, 1)}
 	n.mu.Lock()
 	n.leader = leaderRecord{Host: n.Host, Address: n.Address, Term: l.term}
 	n.highestTerm = max(n.highestTerm, l.term)
--- a/internal/control/leaderchange_test.go
+++ b/internal/control/leaderchange_test.go
@@ -36,3 +36,33 @@
 		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
 	})
 }
+
+// Guards against a request that crashes servers and is sent again because the leader
+// that counted the crashes is lost.
+func TestBlockedRequestsOutliveTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 5, 17, nil)
+		time.Sleep(6 * time.Second)
+		fingerprint := []byte("crashing request")
+		for _, server := range []string{"s0", "s1", "s2"} {
+			c.hosts["host-h1"].node.Reports.ReportCrash(fingerprint, server, false)
+		}
+		time.Sleep(2 * time.Second)
+		isBlocked := func(h *testHost) bool { return h.node.View().Load().BlockedFingerprints[string(fingerprint)] }
+		for _, h := range c.hosts {
+			assert.Assert(t, isBlocked(h), "%s", h.name)
+		}
+		c.replaceLeader()
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			for _, h := range c.hosts {
+				assert.Assert(t, isBlocked(h), "%s forgot the request", h.name)
+			}
+		}
+		time.Sleep(suspicionTTL)
+		for _, h := range c.hosts {
+			assert.Assert(t, !isBlocked(h), "%s still blocks the request without a new crash", h.name)
+		}
+		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
+	})
+}
