--- a/internal/entry/decision_test.go
+++ b/internal/entry/decision_test.go
@@ -100,3 +100,39 @@
 		assert.Assert(t, countIn(allowed) <= 0.2*countIn(requests)+64.0/hosts, "window from %s: %v retries of %v requests", from, countIn(allowed), countIn(requests))
 	}
 }
+
+// Guards against a burst that every host gets anew when it restarts.
+func TestRetryBudgetHoldsWhenHostsRestart(t *testing.T) {
+	const hosts, window = 12, 10 * time.Second
+	start := time.Unix(1000, 0)
+	newHosts := func() (budgets []*RetryBudget) {
+		for range hosts {
+			b := NewRetryBudget(0.2, 64, window)
+			b.SetHosts(hosts)
+			budgets = append(budgets, b)
+		}
+		return budgets
+	}
+	var allowed []time.Duration
+	budgets := newHosts()
+	for at := time.Duration(0); at < 40*time.Second; at += 50 * time.Millisecond {
+		if at%(6*time.Second) == 0 {
+			budgets = newHosts()
+		}
+		for _, b := range budgets {
+			for b.Allow("s", start.Add(at)) {
+				allowed = append(allowed, at)
+			}
+		}
+	}
+	for from := time.Duration(0); from < 30*time.Second; from += 100 * time.Millisecond {
+		count := 0
+		for _, at := range allowed {
+			if at >= from && at < from+window {
+				count++
+			}
+		}
+		assert.Assert(t, count <= 64, "window from %s: %d retries", from, count)
+	}
+	assert.Assert(t, len(allowed) > 0)
+}
