Move keys away from servers whose rate limit is below their load

Callers saw: with limits kept, requests for keys of a limited server were rejected for as long as the limit lasted, while other servers could have served those keys.

Change: a server's capacity for the planner is at most the share of the load that its limit covers. Nothing changes for servers without a limit.

--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -123,6 +123,10 @@
 func (m *assignmentManager) candidates(servers map[string]registry.Server) []shards.Candidate {
 	var out []shards.Candidate
 	speeds := m.leadership.knownSpeeds()
+	limits := make(map[string]float64)
+	for _, limit := range m.leadership.node.RateLimits.Statuses() {
+		limits[limit.ID] = limit.Rate
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, id := range slices.Sorted(maps.Keys(servers)) {
@@ -140,7 +144,7 @@
 				speed *= warmupSpeedFactor
 			}
 		}
-		out = append(out, shards.Candidate{ID: id, Incarnation: s.Incarnation, Capacity: float64(s.Slots) * speed})
+		out = append(out, shards.Candidate{ID: id, Incarnation: s.Incarnation, Capacity: float64(s.Slots) * speed, MaxRate: limits[id]})
 	}
 	return out
 }
--- a/internal/shards/planner.go
+++ b/internal/shards/planner.go
@@ -12,6 +12,8 @@
 	Incarnation int64
 	// Capacity is the server's slots times its relative speed.
 	Capacity float64
+	// MaxRate is the server's rate limit in requests per second; 0 if it has none.
+	MaxRate float64
 }
 
 // Load is the estimated request rate of each position.
@@ -123,6 +125,11 @@
 		// The relative error of a server's rate is about one over the square root of
 		// its samples, and the busiest of many servers exceeds its rate by chance.
 		noise := 2 / math.Sqrt(max(load.Samples*busiest.load/max(total, 1e-9), 1))
+		if busiest.MaxRate > 0 {
+			// Requests beyond a rate limit are rejected, which costs more than a move
+			// that turns out not to have been needed.
+			noise = 0
+		}
 		if busiest.utilization() < mean*(threshold+noise) {
 			break
 		}
@@ -214,9 +221,25 @@
 			}
 		}
 	}
+	p.applyRateLimits()
 	return p
 }
 
+// applyRateLimits reduces the capacity of servers with a rate limit, so that a fair
+// share of the load is not more than the limit.
+func (p *planner) applyRateLimits() {
+	load, capacity := 0.0, 0.0
+	for _, s := range p.candidates {
+		load += s.load
+		capacity += s.Capacity
+	}
+	for _, s := range p.candidates {
+		if s.MaxRate > 0 && load > 0 {
+			s.Capacity = min(s.Capacity, s.MaxRate*capacity/load)
+		}
+	}
+}
+
 func (p *planner) loadOf(r Range) float64 { return p.prefixSums[int(r.To)+1] - p.prefixSums[r.From] }
 
 // findPiece returns the best piece of the server's ranges: narrow, with a load that
--- a/internal/shards/planner_test.go
+++ b/internal/shards/planner_test.go
@@ -174,3 +174,28 @@
 	assert.Assert(t, after.FindRange(10).Token > next.FindRange(10).ReleaseToken)
 	assert.Equal(t, after.FindRange(10).Handover, "handover")
 }
+
+// Guards against a server that keeps, or gets, more load than the rate that it
+// accepts, and against keys that move back and forth because of it.
+func TestRateLimitedServerKeepsWhatItAccepts(t *testing.T) {
+	candidates := testCandidates(12)
+	load := evenLoad(120)
+	a, _ := rebalance(t, InitialAssignment(candidates), candidates, load)
+	candidates[2].MaxRate = 1.5
+	a, moved := rebalance(t, a, candidates, load)
+	rate := 0.0
+	for _, r := range a.Ranges {
+		if r.Owner == candidates[2].ID {
+			rate += 120 * float64(int(r.To)-int(r.From)+1) / PositionCount
+		}
+	}
+	// moveThresholdRatio leaves a server up to a fifth above its share.
+	assert.Assert(t, rate <= 1.5*1.5, "%.2f requests a second for a limit of 1.5", rate)
+	assert.Assert(t, rate >= 1.5/2, "%.2f requests a second for a limit of 1.5", rate)
+	assert.Assert(t, moved < 0.25, "%.2f of the positions moved", moved)
+	_, moved = rebalance(t, a, candidates, load)
+	assert.Equal(t, moved, 0.0)
+	for _, move := range PlanFailover(a, []Range{a.Ranges[0]}, candidates, load) {
+		assert.Assert(t, move.NewOwner != candidates[2].ID, "the limited server gets a lost range")
+	}
+}
