--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -1,7 +1,6 @@
 package ratelimit
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -152,28 +151,31 @@
 
 // announce logs a changed limit and tells the observers.
 func (t *Table) announce(old Status, known *entry, source string) {
-	if old.Rate == 0 || old.Incarnation != known.Incarnation {
+	begins := old.Rate == 0 || old.Incarnation != known.Incarnation
+	if begins {
 		known.Allowed, known.Sent = 0, 0
 	}
 	t.version++
-	message := "ratelimit: limit ended"
 	switch {
-	case known.Rate > 0 && (old.Rate == 0 || old.Incarnation != known.Incarnation):
-		message = "ratelimit: limit announced"
+	case known.Rate > 0 && begins:
+		t.logChange("ratelimit: limit announced", known.Since, old, known, source)
 	case known.Rate > 0:
-		message = "ratelimit: limit changed"
-	case old.Rate == 0:
-		message = ""
-	}
-	if message != "" {
-		t.log.Info(message, zap.String("server", known.ID), zap.String("service", known.Service), zap.Float64("rate", known.Rate), zap.Float64("former_rate", old.Rate),
-			zap.String("source", source), zap.Duration("in_force", t.clock().Sub(cmp.Or(old.Since, known.Since))), zap.Int64("allowed", old.Allowed), zap.Int64("sent", old.Sent))
+		t.logChange("ratelimit: limit changed", old.Since, old, known, source)
+	case old.Rate > 0:
+		t.logChange("ratelimit: limit ended", old.Since, old, known, source)
 	}
 	for _, f := range t.onChange {
 		f(known.Limit)
 	}
 }
 
+// logChange logs a change of a limit that the server first announced at since, with
+// what this host has done under the former value.
+func (t *Table) logChange(message string, since boottime.Instant, old Status, known *entry, source string) {
+	t.log.Info(message, zap.String("server", known.ID), zap.String("service", known.Service), zap.Float64("rate", known.Rate), zap.Float64("former_rate", old.Rate),
+		zap.String("source", source), zap.Duration("in_force", t.clock().Sub(since)), zap.Int64("allowed", old.Allowed), zap.Int64("sent", old.Sent))
+}
+
 // CountAllowed counts a request that this host may send to a server.
 func (t *Table) CountAllowed(server string) {
 	t.count(server, func(s *Status) { s.Allowed++ })
