--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -103,8 +103,11 @@
 		}
 	}
 	out.Known.RateLimits = snapshot.RateLimitsVersion
-	if !sameTerm || snapshot.RateLimitsVersion != known.RateLimits {
+	switch {
+	case !sameTerm:
 		out.RateLimits, hasUpdate = l.node.RateLimits.All(), true
+	case snapshot.RateLimitsVersion != known.RateLimits:
+		out.RateLimits, hasUpdate = l.node.RateLimits.ChangedSince(known.RateLimits), true
 	}
 	return out, hasUpdate
 }
--- a/internal/ratelimit/report.go
+++ b/internal/ratelimit/report.go
@@ -11,12 +11,18 @@
 )
 
 // All returns every known limit as a message to another host, ended ones included.
-func (t *Table) All() []*fleetpb.RateLimit {
+func (t *Table) All() []*fleetpb.RateLimit { return t.ChangedSince(0) }
+
+// ChangedSince returns the limits that have begun, changed or ended since a version of
+// the Table.
+func (t *Table) ChangedSince(version uint64) []*fleetpb.RateLimit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []*fleetpb.RateLimit
 	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
-		out = append(out, t.entries[id].toProto(t.clock()))
+		if e := t.entries[id]; version == 0 || e.changedIn > version {
+			out = append(out, e.toProto(t.clock()))
+		}
 	}
 	return out
 }
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -50,6 +50,8 @@
 type entry struct {
 	Status
 	unreported bool // not yet reported to the leader
+	// changedIn is the Table's version in which the limit began, changed or ended last.
+	changedIn uint64
 }
 
 // Table holds the limits that a host knows. It is safe for concurrent use.
@@ -156,6 +158,7 @@
 		known.Allowed, known.Sent = 0, 0
 	}
 	t.version++
+	known.changedIn = t.version
 	switch {
 	case known.Rate > 0 && begins:
 		t.logChange("ratelimit: limit announced", known.Since, old, known, source)
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -120,3 +120,33 @@
 	assert.DeepEqual(t, lines, []string{"announced 1.5", "changed 4", "changed 1", "ended 0"})
 	assert.Equal(t, logs.All()[3].ContextMap()["sent"], int64(1))
 }
+
+// Guards against hosts that get all limits at each change of one, and against a change
+// that they do not get.
+func TestChangedLimitsOnly(t *testing.T) {
+	table, now, _ := newTestTable()
+	other := testServer
+	other.ID = "i-2"
+	observe := func(server Server, rate float64) {
+		*now = now.Add(time.Second)
+		table.Observe(server, Limited, rate, *now)
+	}
+	changed := func(version uint64) (out []string) {
+		for _, limit := range table.ChangedSince(version) {
+			out = append(out, fmt.Sprintf("%s=%g", limit.Server, limit.Rate))
+		}
+		return out
+	}
+	observe(testServer, 1)
+	observe(other, 2)
+	version := table.Version()
+	observe(testServer, 1)
+	assert.Equal(t, table.Version(), version)
+	assert.Equal(t, len(changed(version)), 0)
+	observe(other, 3)
+	assert.DeepEqual(t, changed(version), []string{"i-2=3"})
+	*now = now.Add(time.Second)
+	table.Observe(testServer, Unlimited, 0, *now)
+	assert.DeepEqual(t, changed(version), []string{"i-1=0", "i-2=3"})
+	assert.DeepEqual(t, changed(0), []string{"i-1=0", "i-2=3"})
+}
