Start a dispatcher that takes over without saved tokens

Found in reading the change: a host keeps a bucket for each limited server also while it does not dispatch. The bucket starts empty, but is full by the time the host becomes dispatcher, so each change of dispatcher could add half a second of the limit, at least one request, to what its predecessor had sent.

TestNewDispatcherHasNoSavedTokens fails without the call of TakeOver ("" instead of rate-limited).

--- a/internal/control/ratelimit_test.go
+++ b/internal/control/ratelimit_test.go
@@ -34,7 +34,7 @@
 		announcement = ratelimit.Unlimited
 	}
 	table := c.hosts[host].node.RateLimits
-	table.Observe(ratelimit.Server{ID: "s0", Service: "svc", Incarnation: 1}, announcement, rate, table.Now())
+	table.Observe(ratelimit.Server{ID: "s0", Service: "svc", Incarnation: 1}, announcement, rate, 0)
 }
 
 // Guards against a limit that is known to the hosts only that the server has answered.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// TakeOver prepares for requests of all hosts to a service that another host has
+// dispatched so far.
+func (d *Dispatcher) TakeOver(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if scheduler := d.schedulers[service]; scheduler != nil {
+		scheduler.restartPace(d.Now())
+	}
+}
+
 // TakeTurn counts a request to a server that another dispatcher chose without regard
 // to its limit. It returns false, and when to retry, if the limit does not allow it.
 func (d *Dispatcher) TakeTurn(service, server string) (retryAfter time.Duration, ok bool) {
--- a/internal/dispatch/pacer_test.go
+++ b/internal/dispatch/pacer_test.go
@@ -10,7 +10,7 @@
 
 const second = Instant(time.Second)
 
-// owned returns a Scheduler of a service whose keys all belong to the server "a".
+// ownedScheduler returns a Scheduler of a service whose keys all belong to the server "a".
 func ownedScheduler(share float64) *Scheduler {
 	sched := NewScheduler(share, 1, func(int) OwnerState { return OwnerState{Server: "a"} })
 	sched.SetServers(0, []Server{{ID: "a", Slots: 8}, {ID: "b", Slots: 8}})
@@ -205,3 +205,14 @@
 	decision, _ := d.Acquire(context.Background(), r)
 	assert.Equal(t, decision.Reason, ReasonRateLimited)
 }
+
+// Guards against a burst of a dispatcher that takes over, on top of what its
+// predecessor has sent.
+func TestTakeOverStartsWithoutSavedTokens(t *testing.T) {
+	sched := ownedScheduler(1)
+	sched.SetRateLimit(0, "a", 4)
+	now := 60 * second
+	assert.Equal(t, sched.servers["a"].paceDelay(now, 1), time.Duration(0), "the bucket is not full")
+	sched.restartPace(now)
+	assert.Equal(t, sched.servers["a"].paceDelay(now, 0), 250*time.Millisecond)
+}
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -85,8 +85,8 @@
 	// mayEject is true if at most maxEjectedShare of the servers fail too often;
 	// otherwise none is ejected.
 	mayEject bool
-	// limited holds the servers with a rate limit, and hasUnlimited is true if there
-	// are others.
+	// limited holds the servers with a rate limit; hasUnlimited is true if there is a
+	// server without one.
 	limited      []*serverState
 	hasUnlimited bool
 }
@@ -152,8 +152,7 @@
 }
 
 // decide assigns the request to a server, rejects it, or returns false to leave
-// it queued. Ahead is
-// what is queued before it.
+// it queued. Ahead is what is queued before it.
 func (sched *Scheduler) decide(snap *snapshot, r *queuedRequest, ahead backlog) (Decision, bool) {
 	decision := Decision{ID: r.ID, QueueTime: snap.now.Sub(r.enqueuedAt)}
 	if sched.ownerAt != nil && r.Position >= 0 {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/apierror"
-	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
@@ -232,10 +231,10 @@
 		return exchange.Result{Outcome: exchange.NotSent, Err: errors.New("the server is no longer listed")}
 	}
 	q.upstream.Deadline, q.upstream.ExpectedInstance = q.deadline, server.ID
-	sentAt, observedFrom := time.Now(), h.RateLimits.Now()
+	sentAt := time.Now()
 	result := pool.Do(ctx, &q.upstream)
 	took := time.Since(sentAt)
-	h.observeRateLimit(server, result, observedFrom)
+	h.observeRateLimit(server, result, took)
 	h.recordAttempt(q, decision, result, took)
 	h.Placer.Release(ticket, dispatchResult(result))
 	h.Metrics.recordAttempt(result, took)
@@ -248,7 +247,7 @@
 }
 
 // observeRateLimit records what the result says about the server's rate limit.
-func (h *Handler) observeRateLimit(server ratelimit.Server, result exchange.Result, sentAt boottime.Instant) {
+func (h *Handler) observeRateLimit(server ratelimit.Server, result exchange.Result, took time.Duration) {
 	if result.Outcome != exchange.NotSent {
 		h.RateLimits.CountSent(server.ID)
 	}
@@ -256,7 +255,7 @@
 		h.Metrics.countInvalidRateLimit()
 		h.RateLimits.ReportInvalid(server, result.RateLimitErr)
 	}
-	h.RateLimits.Observe(server, result.RateLimit, result.Rate, sentAt)
+	h.RateLimits.Observe(server, result.RateLimit, result.Rate, took)
 }
 
 // recordAttempt updates the request's counts, the route's cost estimate and the
--- a/internal/placing/placer.go
+++ b/internal/placing/placer.go
@@ -58,6 +58,11 @@
 	if maps.Equal(p.dispatcherAddresses, dispatchers) {
 		return
 	}
+	for service, address := range dispatchers {
+		if address == p.selfAddress && p.dispatcherAddresses[service] != p.selfAddress {
+			p.central.TakeOver(service)
+		}
+	}
 	p.dispatcherAddresses = maps.Clone(dispatchers)
 	used := make(map[string]bool)
 	for _, address := range dispatchers {
--- a/internal/placing/ratelimit_test.go
+++ b/internal/placing/ratelimit_test.go
@@ -47,7 +47,7 @@
 }
 
 func observe(limits *ratelimit.Table, rate float64) {
-	limits.Observe(ratelimit.Server{ID: "s1", Service: "svc", Incarnation: 1}, ratelimit.Limited, rate, limits.Now())
+	limits.Observe(ratelimit.Server{ID: "s1", Service: "svc", Incarnation: 1}, ratelimit.Limited, rate, 0)
 }
 
 // startLimitedServer serves a dispatcher that follows the limits of a table.
@@ -147,3 +147,17 @@
 	fc.close()
 	group.Wait()
 }
+
+// Guards against tokens that a host has saved while another one dispatched.
+func TestNewDispatcherHasNoSavedTokens(t *testing.T) {
+	limits := newTable()
+	p := NewPlacer("self", exchange.Dial, newDispatcher("s1"), newDispatcher("s1"), limits)
+	t.Cleanup(p.Close)
+	observe(limits, 50)
+	time.Sleep(100 * time.Millisecond)
+	p.SetDispatchers(map[string]string{"svc": "self"})
+	r := p.newRequest()
+	r.Deadline = p.At(time.Now())
+	decision, _ := p.Acquire(context.Background(), r)
+	assert.Equal(t, decision.Reason, dispatch.ReasonRateLimited)
+}
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -89,11 +89,11 @@
 	return t.version
 }
 
-// Observe records what a response to a request that was sent at sentAt says.
+// Observe records what the response to a request says that was sent the given time ago.
 //
-// The end of a limit counts from sentAt and its announcement from now: a response
+// The end of a limit counts from the sending and its announcement from now: a response
 // without a limit that was on its way when the limit was announced is older.
-func (t *Table) Observe(server Server, announcement Announcement, rate float64, sentAt boottime.Instant) {
+func (t *Table) Observe(server Server, announcement Announcement, rate float64, sentAgo time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch announcement {
@@ -102,7 +102,7 @@
 		t.merge(Limit{Server: server, Rate: rate, Since: now, ReportedAt: now}, "server", true)
 	case Unlimited:
 		if t.entries[server.ID] != nil {
-			t.merge(Limit{Server: server, ReportedAt: sentAt}, "server", true)
+			t.merge(Limit{Server: server, ReportedAt: t.clock().Add(-sentAgo)}, "server", true)
 		}
 	}
 }
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -60,12 +60,12 @@
 // Guards against a limit that an invalid value changes or ends, and against a log
 // line for each response with one.
 func TestInvalidRateLeavesTheLimitInForce(t *testing.T) {
-	table, now, logs := newTestTable()
-	table.Observe(testServer, Limited, 1.5, *now)
+	table, _, logs := newTestTable()
+	table.Observe(testServer, Limited, 1.5, 0)
 	for range 3 {
 		announcement, rate, err := ParseRate([]string{"NaN"})
 		table.ReportInvalid(testServer, err)
-		table.Observe(testServer, announcement, rate, *now)
+		table.Observe(testServer, announcement, rate, 0)
 	}
 	assert.Equal(t, rates(table), "i-1=1.5")
 	assert.Equal(t, logs.FilterMessage("ratelimit: invalid limit ignored").Len(), 1)
@@ -77,27 +77,27 @@
 	table, now, _ := newTestTable()
 	sentBefore := *now
 	*now = now.Add(time.Second)
-	table.Observe(testServer, Limited, 1.5, sentBefore)
+	table.Observe(testServer, Limited, 1.5, now.Sub(sentBefore))
 	*now = now.Add(time.Millisecond)
-	table.Observe(testServer, Unlimited, 0, sentBefore)
+	table.Observe(testServer, Unlimited, 0, now.Sub(sentBefore))
 	assert.Equal(t, rates(table), "i-1=1.5")
 	*now = now.Add(time.Second)
-	table.Observe(testServer, Unlimited, 0, now.Add(-time.Millisecond))
+	table.Observe(testServer, Unlimited, 0, time.Millisecond)
 	assert.Equal(t, rates(table), "")
 }
 
 // Guards against the limit of a server's former process in force for its successor.
 func TestLimitEndsWithTheServerProcess(t *testing.T) {
 	table, now, logs := newTestTable()
-	table.Observe(testServer, Limited, 1.5, *now)
+	table.Observe(testServer, Limited, 1.5, 0)
 	table.SetServers(func(string) (int64, bool) { return 2, true })
 	assert.Equal(t, rates(table), "")
-	table.Observe(testServer, Limited, 1.5, *now) // a late response of the former process
+	table.Observe(testServer, Limited, 1.5, 0) // a late response of the former process
 	assert.Equal(t, rates(table), "")
 	successor := testServer
 	successor.Incarnation = 2
 	*now = now.Add(time.Second)
-	table.Observe(successor, Limited, 3, *now)
+	table.Observe(successor, Limited, 3, 0)
 	assert.Equal(t, rates(table), "i-1=3")
 	assert.Equal(t, logs.Len(), 3)
 }
@@ -107,12 +107,12 @@
 	table, now, logs := newTestTable()
 	for _, rate := range []float64{1.5, 1.5, 1.5, 4, 4, 1} {
 		*now = now.Add(time.Second)
-		table.Observe(testServer, Limited, rate, *now)
+		table.Observe(testServer, Limited, rate, 0)
 	}
 	table.CountSent(testServer.ID)
 	*now = now.Add(time.Second)
-	table.Observe(testServer, Unlimited, 0, *now)
-	table.Observe(testServer, Unlimited, 0, *now)
+	table.Observe(testServer, Unlimited, 0, 0)
+	table.Observe(testServer, Unlimited, 0, 0)
 	var lines []string
 	for _, line := range logs.All() {
 		lines = append(lines, fmt.Sprintf("%s %v", strings.TrimPrefix(line.Message, "ratelimit: limit "), line.ContextMap()["rate"]))
@@ -129,7 +129,7 @@
 	other.ID = "i-2"
 	observe := func(server Server, rate float64) {
 		*now = now.Add(time.Second)
-		table.Observe(server, Limited, rate, *now)
+		table.Observe(server, Limited, rate, 0)
 	}
 	changed := func(version uint64) (out []string) {
 		for _, limit := range table.ChangedSince(version) {
@@ -146,7 +146,7 @@
 	observe(other, 3)
 	assert.DeepEqual(t, changed(version), []string{"i-2=3"})
 	*now = now.Add(time.Second)
-	table.Observe(testServer, Unlimited, 0, *now)
+	table.Observe(testServer, Unlimited, 0, 0)
 	assert.DeepEqual(t, changed(version), []string{"i-1=0", "i-2=3"})
 	assert.DeepEqual(t, changed(0), []string{"i-1=0", "i-2=3"})
 }
