--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -211,6 +211,10 @@
 	metrics.Handler(http.MethodGet, "/metrics", s.metrics.Handler())
 	for address, handler := range map[string]http.Handler{s.options.ReadinessAddress: readiness, s.options.MetricsAddress: metrics} {
 		listener, err := s.options.Listen(ctx, address)
+		if err != nil && address == s.options.MetricsAddress {
+			s.options.Log.Warn("admin: metrics are not served", zap.String("address", address), zap.Error(err))
+			continue
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -45,9 +45,11 @@
 	Readiness string `yaml:"readiness"`
 	// Peers serves other hosts. Required.
 	Peers string `yaml:"peers"`
-	// FirstPeerPort serves metrics, the next port places requests for other
-	// hosts. Required.
+	// FirstPeerPort serves metrics unless MetricsPort is set. The next port places
+	// requests for other hosts. Required.
 	FirstPeerPort int `yaml:"firstPeerPort"`
+	// MetricsPort serves metrics. Default: FirstPeerPort.
+	MetricsPort int `yaml:"metricsPort"`
 }
 
 // PlatformStore says how the store is reached.
@@ -106,6 +108,7 @@
 		}
 	}
 	between(d, "listen.firstPeerPort", p.Listen.FirstPeerPort, 1, 65534)
+	between(d, "listen.metricsPort", p.Listen.MetricsPort, 0, 65535)
 	between(d, "store.timeout", p.Store.Timeout, Duration(time.Millisecond), Duration(time.Minute))
 	between(d, "limits.memoryMB", p.Limits.MemoryMB, 16, 1<<20)
 	between(d, "limits.cpuQuota", p.Limits.CPUQuota, 0.001, 1024)
--- a/internal/settings/platform_test.go
+++ b/internal/settings/platform_test.go
@@ -40,6 +40,7 @@
 		{`address: "10.1.0.18"`, `address: "edge-1.example"`, "host.address: found \"edge-1.example\", expected an IP address"},
 		{`10.1.0.18:8381`, `10.1.0.18`, "listen.callers: found \"10.1.0.18\", expected an IP address with a port"},
 		{`firstPeerPort: 7200`, `firstPeerPort: 0`, "listen.firstPeerPort"},
+		{`firstPeerPort: 7200`, "firstPeerPort: 7200\n  metricsPort: 70000", "listen.metricsPort"},
 		{`firstPeerPort: 7200`, `firstPeerPort: many`, "expected a whole number"},
 		{`memoryMB: 284`, `memoryMb: 284`, "limits.memoryMb: unknown field, did you mean \"memoryMB\"?"},
 		{`memoryMB: 284`, `memoryMB: 2`, "limits.memoryMB"},
