--- a/internal/control/ratelimit_test.go
+++ b/internal/control/ratelimit_test.go
@@ -58,9 +58,7 @@
 		time.Sleep(6 * time.Second)
 		c.hear("host-h1", 1.5)
 		time.Sleep(time.Second)
-		leader := c.leader()
-		leader.cancel()
-		delete(c.hosts, leader.address)
+		c.replaceLeader()
 		time.Sleep(3 * time.Second)
 		c.startHost("h9")
 		time.Sleep(3 * time.Second)
@@ -90,8 +88,7 @@
 		for _, h := range followers[1:] {
 			h.node.Retire() // so that the host without the limit leads
 		}
-		leader.cancel()
-		delete(c.hosts, leader.address)
+		c.replaceLeader()
 		c.setLinks(next, followers[1:], false)
 		time.Sleep(5 * time.Second)
 		assert.Assert(t, next.node.Leading())
@@ -117,9 +114,7 @@
 		c.hear("host-h1", 1.5)
 		time.Sleep(time.Second)
 		c.store.StartOutage()
-		leader := c.leader()
-		leader.cancel()
-		delete(c.hosts, leader.address)
+		c.replaceLeader()
 		time.Sleep(time.Second)
 		c.startHost("h9")
 		time.Sleep(2 * time.Second)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -344,19 +344,6 @@
 	return result
 }
 
-// parseRateLimit sets what the response states about the server's rate limit. A
-// misdirected request may have reached another server, whose limit says nothing
-// about this one. Without a signature, the lack of a limit proves nothing.
-func (p *Pool) parseRateLimit(result *Result) {
-	if result.Misdirected || p.headers.RateLimit == "" {
-		return
-	}
-	result.RateLimit, result.Rate, result.RateLimitErr = ratelimit.ParseRate(result.Header.Values(p.headers.RateLimit))
-	if result.RateLimit == ratelimit.Unlimited && result.Header.Get(p.headers.Signature) == "" {
-		result.RateLimit = ratelimit.Unstated
-	}
-}
-
 // parseLoad parses "running,waiting,slots". It returns false if text is malformed.
 func parseLoad(text string) (ServerLoad, bool) {
 	parts := strings.Split(text, ",")
