--- a/internal/control/leaderchange_test.go
+++ b/internal/control/leaderchange_test.go
@@ -12,6 +12,8 @@
 func (c *cluster) replaceLeader() {
 	leader := c.leader()
 	leader.cancel()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	delete(c.hosts, leader.address)
 }
 
