Log and measure the era of the store

A store that was restored from an older copy states a higher Store-Era. Each host logs one line per change with the term, configuration and assignments that it knows; the gauge control_store_era has the value. No decision uses it.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -168,6 +168,7 @@
 		return
 	}
 	n.mu.Lock()
+	n.logEraLocked(n.Store.Era())
 	changed := n.storeReachable != (err == nil)
 	n.storeReachable = err == nil
 	if err == nil {
@@ -183,6 +184,31 @@
 	}
 }
 
+// logEraLocked logs a change of the store's era. The caller holds mu.
+func (n *Node) logEraLocked(era store.Era) {
+	if era <= n.storeEra {
+		return
+	}
+	former := n.storeEra
+	n.storeEra = era
+	snapshot := n.view.Load()
+	fields := []zap.Field{zap.Int64("era", int64(era)), zap.Int64("former_era", int64(former)), zap.Int64("term", snapshot.Term)}
+	if snapshot.Config != nil {
+		fields = append(fields, zap.Int64("config", snapshot.Config.Version))
+	}
+	for service, a := range snapshot.Assignments {
+		fields = append(fields, zap.Int64("assignment_"+service, a.Version))
+	}
+	n.Log.Warn("control: the store was restored from an older copy", fields...)
+}
+
+// StoreEra returns the latest era of the store that this host knows.
+func (n *Node) StoreEra() store.Era {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.storeEra
+}
+
 func serversFromProto(list []*fleetpb.Server) []registry.Server {
 	out := make([]registry.Server, 0, len(list))
 	for _, s := range list {
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -224,6 +224,8 @@
 // pollingStore implements Poll with the watches of the memory store.
 type pollingStore struct{ *memory.View }
 
+func (s *pollingStore) Era() store.Era { return store.FirstEra }
+
 func (s *pollingStore) Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (store.WatchBatch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -13,6 +13,7 @@
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/registry"
 	"github.com/cassiasill/cassiasill/internal/routes"
+	"github.com/cassiasill/cassiasill/internal/store"
 )
 
 // Timing of the sync with the leader.
@@ -113,6 +114,7 @@
 	// state of this host.
 	needsFullState      bool
 	lastReadAt          boottime.Instant
+	storeEra            store.Era // latest known
 	storeReachable      bool
 	storeReachedAt      boottime.Instant // last successful call
 	retired             bool
@@ -150,7 +152,7 @@
 	if options.RateLimits == nil {
 		options.RateLimits = ratelimit.NewTable(options.Clock, options.Log)
 	}
-	n := &Node{Options: options, view: NewView(), history: newHistory(), tracker: registry.NewTracker(), storeReachable: true, startedAt: options.Clock(),
+	n := &Node{Options: options, view: NewView(), history: newHistory(), tracker: registry.NewTracker(), storeReachable: true, storeEra: store.FirstEra, startedAt: options.Clock(),
 		timing: timing{storeOutageTolerance: storeOutageTolerance, formerLeaderWait: storeOutageTolerance, grantExpiry: grantExpiry}}
 	n.view.OnChange(n.history.record)
 	return n
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -13,6 +13,8 @@
 // Store is the linearizable store that the hosts share. Errors are
 // *store.Error.
 type Store interface {
+	// Era returns the latest era that the store has stated to this host.
+	Era() store.Era
 	Get(ctx context.Context, key string) (kv store.KeyValue, found bool, revision int64, err error)
 	Range(ctx context.Context, prefix string) ([]store.KeyValue, int64, error)
 	Txn(ctx context.Context, compares []store.Compare, ops []store.Op) (store.TxnResult, error)
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -106,6 +106,9 @@
 		{"control.servers_age_seconds", "Time since the store last confirmed the list of servers.", func(s *control.Snapshot) float64 {
 			return node.Clock().Sub(s.ServersConfirmedAt).Seconds()
 		}},
+		{"control.store_era", "Latest era of the store; it rises when the store is restored from an older copy.", func(*control.Snapshot) float64 {
+			return float64(node.StoreEra())
+		}},
 		{"control.hosts", "Hosts that share the work.", func(s *control.Snapshot) float64 { return float64(s.HostCount) }},
 	}
 	for _, g := range gauges {
