Show with tests that a restored store gives keys two owners and takes configurations back

The stand-in store learns eras: Restore goes back to a copy, with revisions and lease IDs given out again and the history gone, and clients see each era's revisions as the platform's client will.

--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -142,8 +143,12 @@
 		Host: name, Address: h.address, DispatchAddress: "dispatch-" + name, Seeds: []string{"host-h0", "host-h1"},
 		Store: &pollingStore{c.store.Client(name)}, GrantClient: &fakeGrantClient{c, name}, Reports: NewReports(),
 		Schema: Schema{ConfigKey: "config", ServersPrefix: "servers/",
-			DecodeConfig: func(_ []byte, revision int64) (*routes.Config, error) {
-				return routes.NewConfig(1, revision, []routes.Service{{Name: "svc", HasKeyOwners: true}}, routes.Limits{}, nil), nil
+			DecodeConfig: func(value []byte, revision int64) (*routes.Config, error) {
+				version, err := strconv.ParseInt(string(value), 10, 64)
+				if err != nil {
+					return nil, err
+				}
+				return routes.NewConfig(version, revision, []routes.Service{{Name: "svc", HasKeyOwners: true}}, routes.Limits{}, nil), nil
 			},
 			DecodeServer: func(kv store.KeyValue) (registry.Server, error) {
 				var entry struct {
@@ -224,8 +229,6 @@
 // pollingStore implements Poll with the watches of the memory store.
 type pollingStore struct{ *memory.View }
 
-func (s *pollingStore) Era() store.Era { return store.FirstEra }
-
 func (s *pollingStore) Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (store.WatchBatch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
--- /dev/null
+++ b/internal/control/restore_test.go
@@ -0,0 +1,263 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cassiasill/cassiasill/internal/store/memory"
+)
+
+// restoreStore takes the store away for a time and restores it from the copy.
+func (c *cluster) restoreStore(from *memory.Copy, away time.Duration) {
+	c.store.StartOutage()
+	time.Sleep(away)
+	c.store.Restore(from)
+	c.store.EndOutage()
+}
+
+// cutServer blocks or unblocks all hosts' calls to a server.
+func (c *cluster) cutServer(id string, blocked bool) {
+	for _, h := range hostNames {
+		c.setLinkBlocked(h, id, blocked)
+	}
+}
+
+// moveKeysSince returns a copy of the store, after which the keys of s1 and s2
+// have moved to other servers, while both live on.
+func (c *cluster) moveKeysSince() *memory.Copy {
+	before := c.store.Copy()
+	c.cutServer("s1", true)
+	c.cutServer("s2", true)
+	time.Sleep(7 * time.Second)
+	c.cutServer("s1", false)
+	c.cutServer("s2", false)
+	time.Sleep(time.Second)
+	return before
+}
+
+// restoreCase is a way in which the store goes back to an older copy.
+type restoreCase struct {
+	name string
+	// prepare runs before the copy is taken, if not nil.
+	prepare func(*cluster)
+	// restore takes the store back to the copy.
+	restore func(*cluster, *memory.Copy)
+}
+
+// replaceLeaderHost kills the leader and waits for the next one.
+func replaceLeaderHost(c *cluster) *testHost {
+	first := c.leader()
+	c.killHost(first)
+	time.Sleep(4 * time.Second)
+	return first
+}
+
+func restoreCases() []restoreCase {
+	return []restoreCase{
+		{name: "leader stays", restore: func(c *cluster, old *memory.Copy) { c.restoreStore(old, 2*time.Second) }},
+		{name: "store away for 0.2 s", restore: func(c *cluster, old *memory.Copy) { c.restoreStore(old, 200*time.Millisecond) }},
+		{name: "store away for 10 s", restore: func(c *cluster, old *memory.Copy) { c.restoreStore(old, 10*time.Second) }},
+		{name: "leader killed during the outage", restore: func(c *cluster, old *memory.Copy) {
+			c.store.StartOutage()
+			c.killHost(c.leader())
+			c.restoreStore(old, time.Second)
+		}},
+		{name: "leader killed after the restore", restore: func(c *cluster, old *memory.Copy) {
+			l := c.leader()
+			c.restoreStore(old, time.Second)
+			time.Sleep(100 * time.Millisecond)
+			c.killHost(l)
+		}},
+		{name: "leader cut off from the store", restore: func(c *cluster, old *memory.Copy) {
+			l := c.leader()
+			c.store.Partition(l.name)
+			c.restoreStore(old, time.Second)
+			time.Sleep(6 * time.Second)
+			c.store.Heal(l.name)
+		}},
+		{name: "leader cut off from store and hosts", restore: func(c *cluster, old *memory.Copy) {
+			l := c.leader()
+			c.store.Partition(l.name)
+			c.setIsolated(l, true)
+			c.restoreStore(old, time.Second)
+			time.Sleep(8 * time.Second)
+			c.setIsolated(l, false)
+			c.store.Heal(l.name)
+		}},
+		{name: "former leader's record is back", restore: func(c *cluster, old *memory.Copy) {
+			first := replaceLeaderHost(c)
+			c.startHost(first.name)
+			time.Sleep(time.Second)
+			c.restoreStore(old, 2*time.Second)
+		}},
+		{name: "record of a lost leader is back", restore: func(c *cluster, old *memory.Copy) {
+			replaceLeaderHost(c)
+			c.restoreStore(old, 2*time.Second)
+		}},
+		{name: "restored twice", restore: func(c *cluster, old *memory.Copy) {
+			c.restoreStore(old, time.Second)
+			time.Sleep(3 * time.Second)
+			c.restoreStore(old, time.Second)
+		}},
+		{name: "restored right after an outage", restore: func(c *cluster, old *memory.Copy) {
+			c.store.StartOutage()
+			time.Sleep(3 * time.Second)
+			c.store.EndOutage()
+			time.Sleep(300 * time.Millisecond)
+			c.restoreStore(old, 200*time.Millisecond)
+		}},
+		{name: "host starts in the new era", restore: func(c *cluster, old *memory.Copy) {
+			c.restoreStore(old, time.Second)
+			c.startHost("h9")
+		}},
+		{name: "new host and no leader", restore: func(c *cluster, old *memory.Copy) {
+			c.store.StartOutage()
+			c.killHost(c.leader())
+			c.startHost("h9")
+			c.restoreStore(old, time.Second)
+		}},
+		{name: "server lost in the new era", restore: func(c *cluster, old *memory.Copy) {
+			c.restoreStore(old, time.Second)
+			time.Sleep(500 * time.Millisecond)
+			c.crashServer("s3")
+		}},
+		{name: "calls of the old era arrive late", restore: func(c *cluster, old *memory.Copy) {
+			c.mu.Lock()
+			c.delayedCallRate = 0.3
+			c.mu.Unlock()
+			c.restoreStore(old, time.Second)
+			time.Sleep(8 * time.Second)
+			c.mu.Lock()
+			c.delayedCallRate = 0
+			c.mu.Unlock()
+		}},
+	}
+}
+
+// runRestore plays one case and returns the errors, with positions that have no
+// owner at the end.
+func runRestore(t *testing.T, play restoreCase, seed uint64, options func(*Node)) (errors []string) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 5, seed, options)
+		time.Sleep(6 * time.Second)
+		play.restore(c, c.moveKeysSince())
+		time.Sleep(25 * time.Second)
+		if missing := c.unservedPositions(); missing > 0 {
+			c.errors = append(c.errors, fmt.Sprintf("%d positions have no owner 25 s after the restore", missing))
+		}
+		errors = c.close()
+	})
+	return errors
+}
+
+// Guards against two owners of a key, and tokens given out twice, after the store
+// came back from an older copy.
+func TestRestoredStoreGivesNoKeyTwoOwners(t *testing.T) {
+	for _, play := range restoreCases() {
+		t.Run(play.name, func(t *testing.T) {
+			errors := runRestore(t, play, 11, nil)
+			assert.Equal(t, len(errors), 0, "%v", errors)
+		})
+	}
+}
+
+// Guards against keys that stay without an owner while a leader in place writes
+// again what the store has lost.
+func TestRestoredStoreKeepsKeysServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 5, 12, nil)
+		time.Sleep(6 * time.Second)
+		old := c.moveKeysSince()
+		time.Sleep(8 * time.Second)
+		c.restoreStore(old, time.Second)
+		unserved := 0
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			unserved += c.unservedPositions()
+		}
+		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
+		assert.Equal(t, unserved, 0, "of %d", 100*sampledPositions)
+	})
+}
+
+// configVersions returns the configuration versions in force at the hosts.
+func (c *cluster) configVersions() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]int64)
+	for _, h := range c.hosts {
+		out[h.name] = 0
+		if config := h.node.View().Load().Config; config != nil {
+			out[h.name] = config.Version
+		}
+	}
+	return out
+}
+
+// checkConfig records an error for each host with another version in force.
+func (c *cluster) checkConfig(want int64) {
+	for host, version := range c.configVersions() {
+		if version != want {
+			c.errors = append(c.errors, fmt.Sprintf("%s: configuration %d at %s, want %d", time.Since(c.startedAt), version, host, want))
+		}
+	}
+}
+
+// Guards against a configuration that goes back with the store, and one that is
+// ignored because its revision was given out before.
+func TestRestoredStoreTakesNoConfigurationBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 5, 13, nil)
+		c.putEntry("config", "4")
+		time.Sleep(6 * time.Second)
+		old := c.store.Copy()
+		c.putEntry("config", "9")
+		time.Sleep(time.Second)
+		c.putEntry("config", "13")
+		time.Sleep(time.Second)
+		c.checkConfig(13)
+
+		c.restoreStore(old, time.Second)
+		c.startHost("h9")
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			for host, version := range c.configVersions() {
+				if version != 13 && (host != "h9" || version == 4) {
+					c.errors = append(c.errors, fmt.Sprintf("configuration went back to %d at %s", version, host))
+				}
+			}
+		}
+		c.checkConfig(13)
+		// Written again under a revision that the hosts have seen; then a new one.
+		c.putEntry("config", "13")
+		time.Sleep(time.Second)
+		c.putEntry("config", "17")
+		time.Sleep(1500 * time.Millisecond)
+		c.checkConfig(17)
+		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
+	})
+}
+
+// Guards against an invalid configuration, or a newer one under a revision that
+// was seen before, deciding what is in force after a restore.
+func TestRestoredStoreKeepsTheConfigurationOverAnInvalidOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 5, 14, nil)
+		time.Sleep(6 * time.Second)
+		old := c.store.Copy()
+		c.putEntry("config", "9")
+		time.Sleep(time.Second)
+		c.restoreStore(old, 200*time.Millisecond)
+		c.putEntry("config", "not a number")
+		time.Sleep(time.Second)
+		c.checkConfig(9)
+		c.putEntry("config", "10")
+		time.Sleep(1500 * time.Millisecond)
+		c.checkConfig(10)
+		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
+	})
+}
--- a/internal/store/memory/memory.go
+++ b/internal/store/memory/memory.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -80,6 +81,8 @@
 	leases          map[store.LeaseID]*lease
 	nextLease       store.LeaseID
 
+	era store.Era
+
 	outage          bool
 	responseDelay   time.Duration
 	responsesToDrop int
@@ -97,6 +100,7 @@
 // New returns an empty store.
 func New() *Store {
 	s := &Store{
+		era:  store.FirstEra,
 		keys: make(map[string]store.KeyValue), leases: make(map[store.LeaseID]*lease),
 		partitioned: make(map[string]bool), calls: make(map[string]*CallCounts), changed: make(chan struct{}),
 	}
@@ -118,7 +122,9 @@
 
 // Client returns the view of the named client. Each client can be partitioned from
 // the store independently of the others.
-func (s *Store) Client(name string) *View { return &View{backend: s, client: name} }
+func (s *Store) Client(name string) *View {
+	return &View{backend: s, client: name, era: &store.EraClock{}}
+}
 
 // StartOutage starts an outage: every call fails with KindUnavailable, and all watches
 // end. Leases do not expire during the outage.
@@ -145,6 +151,50 @@
 // with KindAmbiguous. A negative n drops all responses until DropResponses(0).
 func (s *Store) DropResponses(n int) { s.update(func() { s.responsesToDrop = n }) }
 
+// Copy is the state of a store at one moment.
+type Copy struct {
+	revision  int64
+	nextLease store.LeaseID
+	keys      map[string]store.KeyValue
+	ttls      map[store.LeaseID]time.Duration
+}
+
+// Copy returns a copy of the store's state.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &Copy{revision: s.revision, nextLease: s.nextLease, keys: maps.Clone(s.keys), ttls: make(map[store.LeaseID]time.Duration)}
+	for id, l := range s.leases {
+		c.ttls[id] = l.ttl
+	}
+	return c
+}
+
+// Restore replaces the state by an older copy, in the next era. All later writes
+// are lost, their revisions and lease IDs are given out again, and the history is
+// gone. Leases of the copy run with their full TTL.
+func (s *Store) Restore(c *Copy) {
+	s.update(func() {
+		for _, l := range s.leases {
+			l.timer.Stop()
+		}
+		s.era++
+		s.revision, s.compactRevision, s.nextLease = c.revision, c.revision, c.nextLease
+		s.history, s.historyBytes = nil, 0
+		s.keys, s.leases = maps.Clone(c.keys), make(map[store.LeaseID]*lease)
+		for id, ttl := range c.ttls {
+			l := &lease{ttl: ttl, keys: make(map[string]bool)}
+			s.leases[id] = l
+			s.startLeaseTimer(id, l)
+		}
+		for key, kv := range s.keys {
+			if l := s.leases[kv.Lease]; l != nil {
+				l.keys[key] = true
+			}
+		}
+	})
+}
+
 // Partition makes the store unreachable for the named client.
 func (s *Store) Partition(client string) { s.update(func() { s.partitioned[client] = true }) }
 
--- a/internal/store/memory/view.go
+++ b/internal/store/memory/view.go
@@ -15,6 +15,16 @@
 type View struct {
 	backend *Store
 	client  string
+	era     *store.EraClock
+}
+
+// Era returns the latest era that a response has stated to this client.
+func (v *View) Era() store.Era { return v.era.Latest() }
+
+// withEra returns the key with the era of its revisions.
+func withEra(era store.Era, kv store.KeyValue) store.KeyValue {
+	kv.ModRevision, kv.CreateRevision = store.WithEra(era, kv.ModRevision), store.WithEra(era, kv.CreateRevision)
+	return kv
 }
 
 var _ store.Store = (*View)(nil)
@@ -23,8 +33,9 @@
 func (v *View) Get(ctx context.Context, key string) (kv store.KeyValue, found bool, revision int64, err error) {
 	err = v.read(ctx, "get", func() {
 		kv, found = v.backend.keys[key]
+		kv = withEra(v.backend.era, kv)
 		kv.Value = bytes.Clone(kv.Value)
-		revision = v.backend.revision
+		revision = store.WithEra(v.backend.era, v.backend.revision)
 	})
 	return kv, found, revision, err
 }
@@ -34,11 +45,12 @@
 	err = v.read(ctx, "range", func() {
 		for key, kv := range v.backend.keys {
 			if strings.HasPrefix(key, prefix) {
+				kv = withEra(v.backend.era, kv)
 				kv.Value = bytes.Clone(kv.Value)
 				kvs = append(kvs, kv)
 			}
 		}
-		revision = v.backend.revision
+		revision = store.WithEra(v.backend.era, v.backend.revision)
 	})
 	slices.SortFunc(kvs, func(a, b store.KeyValue) int { return strings.Compare(a.Key, b.Key) })
 	return kvs, revision, err
@@ -51,7 +63,18 @@
 			return store.TxnResult{}, &store.Error{Kind: store.KindTooLarge, Op: "txn", Err: errTooLarge}
 		}
 	}
-	return write(ctx, v, "txn", func() (store.TxnResult, error) { return v.backend.txn(compares, ops) })
+	stripped, inEra := v.era.InLatestEra(compares)
+	if !inEra {
+		return store.TxnResult{}, nil
+	}
+	return write(ctx, v, "txn", func() (store.TxnResult, error) {
+		result, err := v.backend.txn(stripped, ops)
+		if err == nil {
+			err = store.CheckTxn(compares, v.backend.era)
+		}
+		result.Revision = store.WithEra(v.backend.era, result.Revision)
+		return result, err
+	})
 }
 
 // GrantLease creates a lease.
@@ -61,6 +84,7 @@
 		l := &lease{ttl: ttl, keys: make(map[string]bool)}
 		v.backend.leases[v.backend.nextLease] = l
 		v.backend.startLeaseTimer(v.backend.nextLease, l)
+		v.era.AddLease(v.backend.nextLease, v.backend.era)
 		return v.backend.nextLease, nil
 	})
 }
@@ -76,6 +100,9 @@
 }
 
 func (v *View) updateLease(ctx context.Context, op string, id store.LeaseID, f func(*lease)) error {
+	if err := v.era.CheckLease(op, id); err != nil {
+		return err
+	}
 	_, err := write(ctx, v, op, func() (struct{}, error) {
 		l := v.backend.leases[id]
 		if l == nil {
@@ -84,6 +111,9 @@
 		f(l)
 		return struct{}{}, nil
 	})
+	if err == nil {
+		err = v.era.CheckLease(op, id)
+	}
 	return err
 }
 
@@ -101,6 +131,9 @@
 	if err := v.backend.checkReachable(v.client); err != nil {
 		return &store.Error{Kind: store.KindUnavailable, Op: op, Err: err}
 	}
+	if err := v.era.Accept(op, v.backend.era, false); err != nil {
+		return err
+	}
 	f()
 	return nil
 }
@@ -126,6 +159,9 @@
 		return zero, &store.Error{Kind: store.KindUnavailable, Op: op, Err: err}
 	}
 	run := func() writeResult[T] {
+		if err := v.era.Accept(op, s.era, true); err != nil {
+			return writeResult[T]{err: err}
+		}
 		value, err := f()
 		if s.responsesToDrop != 0 {
 			s.responsesToDrop = max(s.responsesToDrop-1, -1)
@@ -196,7 +232,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if from <= 0 {
-		from = s.revision + 1
+		from = store.WithEra(s.era, s.revision+1)
 	}
 	counts := s.countsOf(v.client)
 	counts.Reads++
@@ -256,8 +292,19 @@
 	if err := s.checkReachable(v.client); err != nil {
 		return store.WatchBatch{}, nil, 0, &store.Error{Kind: store.KindUnavailable, Op: "watch", Err: err}
 	}
-	if from <= s.compactRevision {
+	if err := v.era.Accept("watch", s.era, false); err != nil {
+		return store.WatchBatch{}, nil, 0, err
+	}
+	if err := store.CheckWatch(from, s.era); err != nil {
+		return store.WatchBatch{}, nil, 0, err
+	}
+	rawFrom := store.WithoutEra(from)
+	if rawFrom <= s.compactRevision || rawFrom > s.revision+1 {
 		return store.WatchBatch{}, nil, 0, &store.Error{Kind: store.KindCompacted, Op: "watch", Err: errors.New("history was compacted")}
 	}
-	return store.WatchBatch{Events: s.eventsSince(prefix, from), Revision: s.revision}, s.changed, s.responseDelay, nil
+	events := s.eventsSince(prefix, rawFrom)
+	for i := range events {
+		events[i].KeyValue = withEra(s.era, events[i].KeyValue)
+	}
+	return store.WatchBatch{Events: events, Revision: store.WithEra(s.era, s.revision)}, s.changed, s.responseDelay, nil
 }
