--- a/internal/store/memory/memory.go
+++ b/internal/store/memory/memory.go
@@ -126,6 +126,19 @@
 	return &View{backend: s, client: name, era: &store.EraClock{}}
 }
 
+// RawClient returns a view for a server of the store's protocol: revisions are the
+// store's own, whose era its responses state separately.
+func (s *Store) RawClient(name string) *View {
+	return &View{backend: s, client: name, era: &store.EraClock{}, raw: true}
+}
+
+// Era returns the era of the store.
+func (s *Store) Era() store.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // StartOutage starts an outage: every call fails with KindUnavailable, and all watches
 // end. Leases do not expire during the outage.
 func (s *Store) StartOutage() { s.update(func() { s.outage = true }) }
--- a/internal/store/memory/view.go
+++ b/internal/store/memory/view.go
@@ -16,11 +16,23 @@
 	backend *Store
 	client  string
 	era     *store.EraClock
+	// raw makes the view behave like the store itself, which knows the revisions
+	// and leases of its copy, instead of like a client that tells eras apart.
+	raw bool
 }
 
 // Era returns the latest era that a response has stated to this client.
 func (v *View) Era() store.Era { return v.era.Latest() }
 
+// currentEra returns the era that revisions in results include. The caller holds
+// the lock.
+func (v *View) currentEra() store.Era {
+	if v.raw {
+		return store.FirstEra
+	}
+	return v.backend.era
+}
+
 // withEra returns the key with the era of its revisions.
 func withEra(era store.Era, kv store.KeyValue) store.KeyValue {
 	kv.ModRevision, kv.CreateRevision = store.WithEra(era, kv.ModRevision), store.WithEra(era, kv.CreateRevision)
@@ -33,9 +45,9 @@
 func (v *View) Get(ctx context.Context, key string) (kv store.KeyValue, found bool, revision int64, err error) {
 	err = v.read(ctx, "get", func() {
 		kv, found = v.backend.keys[key]
-		kv = withEra(v.backend.era, kv)
+		kv = withEra(v.currentEra(), kv)
 		kv.Value = bytes.Clone(kv.Value)
-		revision = store.WithEra(v.backend.era, v.backend.revision)
+		revision = store.WithEra(v.currentEra(), v.backend.revision)
 	})
 	return kv, found, revision, err
 }
@@ -45,12 +57,12 @@
 	err = v.read(ctx, "range", func() {
 		for key, kv := range v.backend.keys {
 			if strings.HasPrefix(key, prefix) {
-				kv = withEra(v.backend.era, kv)
+				kv = withEra(v.currentEra(), kv)
 				kv.Value = bytes.Clone(kv.Value)
 				kvs = append(kvs, kv)
 			}
 		}
-		revision = store.WithEra(v.backend.era, v.backend.revision)
+		revision = store.WithEra(v.currentEra(), v.backend.revision)
 	})
 	slices.SortFunc(kvs, func(a, b store.KeyValue) int { return strings.Compare(a.Key, b.Key) })
 	return kvs, revision, err
@@ -70,9 +82,9 @@
 	return write(ctx, v, "txn", func() (store.TxnResult, error) {
 		result, err := v.backend.txn(stripped, ops)
 		if err == nil {
-			err = store.CheckTxn(compares, v.backend.era)
+			err = store.CheckTxn(compares, v.currentEra())
 		}
-		result.Revision = store.WithEra(v.backend.era, result.Revision)
+		result.Revision = store.WithEra(v.currentEra(), result.Revision)
 		return result, err
 	})
 }
@@ -84,7 +96,7 @@
 		l := &lease{ttl: ttl, keys: make(map[string]bool)}
 		v.backend.leases[v.backend.nextLease] = l
 		v.backend.startLeaseTimer(v.backend.nextLease, l)
-		v.era.AddLease(v.backend.nextLease, v.backend.era)
+		v.era.AddLease(v.backend.nextLease, v.currentEra())
 		return v.backend.nextLease, nil
 	})
 }
@@ -131,7 +143,7 @@
 	if err := v.backend.checkReachable(v.client); err != nil {
 		return &store.Error{Kind: store.KindUnavailable, Op: op, Err: err}
 	}
-	if err := v.era.Accept(op, v.backend.era, false); err != nil {
+	if err := v.era.Accept(op, v.currentEra(), false); err != nil {
 		return err
 	}
 	f()
@@ -159,7 +171,7 @@
 		return zero, &store.Error{Kind: store.KindUnavailable, Op: op, Err: err}
 	}
 	run := func() writeResult[T] {
-		if err := v.era.Accept(op, s.era, true); err != nil {
+		if err := v.era.Accept(op, v.currentEra(), true); err != nil {
 			return writeResult[T]{err: err}
 		}
 		value, err := f()
@@ -232,7 +244,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if from <= 0 {
-		from = store.WithEra(s.era, s.revision+1)
+		from = store.WithEra(v.currentEra(), s.revision+1)
 	}
 	counts := s.countsOf(v.client)
 	counts.Reads++
@@ -292,10 +304,10 @@
 	if err := s.checkReachable(v.client); err != nil {
 		return store.WatchBatch{}, nil, 0, &store.Error{Kind: store.KindUnavailable, Op: "watch", Err: err}
 	}
-	if err := v.era.Accept("watch", s.era, false); err != nil {
+	if err := v.era.Accept("watch", v.currentEra(), false); err != nil {
 		return store.WatchBatch{}, nil, 0, err
 	}
-	if err := store.CheckWatch(from, s.era); err != nil {
+	if err := store.CheckWatch(from, v.currentEra()); err != nil {
 		return store.WatchBatch{}, nil, 0, err
 	}
 	rawFrom := store.WithoutEra(from)
@@ -304,7 +316,7 @@
 	}
 	events := s.eventsSince(prefix, rawFrom)
 	for i := range events {
-		events[i].KeyValue = withEra(s.era, events[i].KeyValue)
+		events[i].KeyValue = withEra(v.currentEra(), events[i].KeyValue)
 	}
-	return store.WatchBatch{Events: events, Revision: store.WithEra(s.era, s.revision)}, s.changed, s.responseDelay, nil
+	return store.WatchBatch{Events: events, Revision: store.WithEra(v.currentEra(), s.revision)}, s.changed, s.responseDelay, nil
 }
