Write the newest assignment again when the store was restored from an older copy

Change: a leader steps down when the store's era rises. The first leader of an era collects the assignments from the last leader, the relays and the seeds, takes the newest, also unpublished ones, and writes it again before any grant. Versions, and so tokens, of an era start above all of earlier ones. If the last leader does not respond, its last changes may be unknown: every server then has to release what it does not own, under such a token, before the first grant, and an unknown former leader is waited for. Writes are on the condition of a key named after the era, so that one of an earlier era that is applied late changes nothing even if revisions come twice.

Why it works: what took effect was committed by one leader after the other, and the last of them knows all of it. Without that leader nothing is assumed: a server that acknowledges the release holds nothing else, and shuts out every grant under way.

--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -26,8 +26,9 @@
 // campaign tries to become leader by replacing the leader's key, which must be
 // at the given revision; 0 means that the key must not exist. The same
 // transaction adds this host to the list of leaders that may still renew
-// grants, which the next leader reads.
-func (n *Node) campaign(ctx context.Context, revision int64, formerValue []byte) {
+// grants, which the next leader reads, and replaces the keys of earlier eras by
+// that of the store's era.
+func (n *Node) campaign(ctx context.Context, revision int64, formerValue []byte, eraKeys []string) {
 	var former []leaderRecord
 	if len(formerValue) > 0 {
 		if err := json.Unmarshal(formerValue, &former); err != nil {
@@ -36,7 +37,9 @@
 	}
 	// Earlier leaders on this host were processes that have ended.
 	former = slices.DeleteFunc(former, func(f leaderRecord) bool { return f.Host == n.Host || f.Address == n.Address })
+	former = n.addLostLeader(former)
 	startedAt := n.Clock()
+	era := n.Store.Era()
 	lease, err := n.Store.GrantLease(ctx, LeaseTTL)
 	n.recordStoreResult(err)
 	if err != nil {
@@ -51,10 +54,15 @@
 	if err != nil {
 		return // strings can always be encoded
 	}
-	result, err := n.Store.Txn(ctx, []store.Compare{{Key: leaderKey, ModRevision: revision}},
-		[]store.Op{{Key: leaderKey, Value: value, Lease: lease}, store.Put(formerLeadersKey, list)})
+	ops := []store.Op{{Key: leaderKey, Value: value, Lease: lease}, store.Put(formerLeadersKey, list), store.Put(eraKey(era), value)}
+	for _, key := range eraKeys {
+		if key != eraKey(era) {
+			ops = append(ops, store.Delete(key))
+		}
+	}
+	result, err := n.Store.Txn(ctx, []store.Compare{{Key: leaderKey, ModRevision: revision}}, ops)
 	n.recordStoreResult(err)
-	if err != nil || !result.Succeeded {
+	if err != nil || !result.Succeeded || store.EraOf(result.Revision) != era {
 		// After a call without a response the key may have been written.
 		// Revoking the lease deletes it; without that the lease expires unused.
 		if err := n.Store.RevokeLease(ctx, lease); err != nil {
@@ -69,6 +77,8 @@
 	n.leader = leaderRecord{Host: n.Host, Address: n.Address, Term: l.term}
 	n.highestTerm = max(n.highestTerm, l.term)
 	n.leadership = l
+	l.recovery = &recovery{leadership: l, ledTerm: n.ledTerm, followedTerm: n.followed.Term}
+	n.ledTerm, n.followed = l.term, n.leader
 	n.mu.Unlock()
 	n.view.setTerm(l.term)
 	n.Log.Info("control: leading", zap.Int64("term", l.term), zap.Int("former_leaders", len(former)))
@@ -99,6 +109,9 @@
 		return
 	}
 	for _, f := range former {
+		if f.Address == "" {
+			continue // unknownLeader
+		}
 		callCtx, cancel := context.WithTimeout(ctx, formerQueryInterval)
 		client := fleetpbconnect.NewFleetServiceClient(l.node.PeerClient, "http://"+f.Address)
 		response, err := client.Sync(callCtx, connect.NewRequest(&fleetpb.SyncRequest{Known: &fleetpb.Known{Term: l.term}}))
@@ -123,7 +136,7 @@
 		return // strings can always be encoded
 	}
 	// If this write is lost, the next leader only queries or waits longer.
-	if _, err := l.node.Store.Txn(ctx, nil, []store.Op{store.Put(formerLeadersKey, value)}); err != nil {
+	if _, err := l.node.Store.Txn(ctx, l.conditions(), []store.Op{store.Put(formerLeadersKey, value)}); err != nil {
 		l.node.Log.Debug("control: failed to write list of former leaders", zap.Error(err))
 	}
 }
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -58,6 +58,7 @@
 	delayRandom    *rand.Rand // of grants and releases, guarded by mu
 	startedAt      time.Time
 	configure      func(*Node)
+	copies         []*memory.Copy // of the store, used by the fault schedule
 
 	mu                  sync.Mutex
 	servers             map[string]*fakeServer // by address
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -114,6 +114,11 @@
 		return err
 	}
 	n.applyResponse(response.Msg, sentAt)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if leader.Term >= n.followed.Term {
+		n.followed = leader
+	}
 	return nil
 }
 
--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -120,6 +120,9 @@
 func (m *assignmentManager) renewGrants(ctx context.Context, servers map[string]registry.Server, now boottime.Instant) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.isFenced(now) {
+		return
+	}
 	due := make(map[string][]shards.Range)
 	for _, r := range m.assignment.Ranges {
 		if s, ok := servers[r.Owner]; r.Held() && ok && s.Incarnation == r.Incarnation {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -81,6 +81,7 @@
 	addresses      map[string]string // last known by server, including removed servers
 
 	managers         map[string]*assignmentManager // by service; used only by tick
+	recovery         *recovery                     // used only by tick
 	rateLimitsSentAt boottime.Instant              // used only by tick
 	group            conc.WaitGroup
 	wakeups          chan struct{}
@@ -106,6 +107,15 @@
 	}
 }
 
+// era returns the era of the store in which this host was elected.
+func (l *leadership) era() store.Era { return store.EraOf(l.term) }
+
+// conditions returns the conditions under which this leadership is still the
+// latest in the store.
+func (l *leadership) conditions() []store.Compare {
+	return []store.Compare{{Key: leaderKey, ModRevision: l.term}, {Key: eraKey(l.era()), ModRevision: l.term}}
+}
+
 // mayRenew reports whether grants may be sent now. It is called right before
 // each grant is sent. Its clock includes time in which the machine was
 // suspended.
@@ -185,6 +195,10 @@
 // its assignment.
 func (l *leadership) tick(ctx context.Context) {
 	n := l.node
+	if n.Store.Era() != l.era() {
+		l.stepDown("the store was restored from an older copy")
+		return
+	}
 	now := n.Clock()
 	ownReport := &fleetpb.SyncRequest{}
 	n.Reports.drainInto(ownReport)
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -71,6 +71,9 @@
 	// grantsDeferred is true if maxOpeningSessions has deferred a grant.
 	grantsDeferred bool
 	adoptedVersion int64 // version of the assignment read last
+	// unfenced holds the servers that may still have grants from before the
+	// store was restored, of which this leader knows nothing.
+	unfenced map[string]bool
 }
 
 func newAssignmentManager(l *leadership, service string) *assignmentManager {
@@ -159,15 +162,30 @@
 		m.storeRetryAt = now.Add(assignmentRetryDelay)
 		return false
 	}
+	var stored *shards.Assignment
 	if found {
-		a, err := shards.Decode(kv.Value, kv.ModRevision)
-		if err != nil {
+		if stored, err = shards.Decode(kv.Value, kv.ModRevision); err != nil {
 			m.log().Error("shards: committed assignment can't be decoded", zap.Error(err))
 			return false
 		}
-		m.adopt(a)
+	}
+	if n.Store.Era() != m.leadership.era() {
+		m.leadership.stepDown("the store was restored from an older copy")
+		return false
+	}
+	if m.leadership.era() > store.FirstEra && (stored == nil || stored.Version < shards.FirstVersionOf(m.leadership.era())) {
+		return m.recoverAssignment(ctx, stored, servers)
+	}
+	if found {
+		m.adopt(stored)
 		return true
 	}
+	return m.createAssignment(ctx, servers, now)
+}
+
+// createAssignment creates the first assignment once all servers have had time to
+// register. It returns true if the assignment is known.
+func (m *assignmentManager) createAssignment(ctx context.Context, servers map[string]registry.Server, now boottime.Instant) bool {
 	if len(servers) == 0 {
 		return false
 	}
@@ -181,8 +199,18 @@
 		m.storeRetryAt = now.Add(bootstrapQuietPeriod / 4)
 		return false
 	}
-	m.commit(ctx, shards.InitialAssignment(m.candidates(servers)))
-	return m.assignment != nil
+	first := shards.InitialAssignment(m.candidates(servers))
+	if m.leadership.era() == store.FirstEra {
+		m.commit(ctx, first)
+		return m.assignment != nil
+	}
+	// Servers may have grants from before the store was restored.
+	first = first.WithVersion(shards.FirstVersionOf(m.leadership.era()))
+	if m.commit(ctx, first); m.assignment == nil {
+		return false
+	}
+	m.fenceServers(ctx, first)
+	return true
 }
 
 func (m *assignmentManager) isUncertain() bool {
@@ -196,6 +224,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.assignment, m.uncertain, m.adoptedVersion = a, false, a.Version
+	m.leadership.node.recordCommitted(m.service, a)
 	m.log().Info("shards: assignment adopted", zap.Int64("version", a.Version), zap.Int("ranges", len(a.Ranges)))
 }
 
@@ -204,6 +233,16 @@
 // condition a former leader could change an assignment that it has read after
 // its lease expired, without knowing when the new leader has sent grants.
 func (m *assignmentManager) commit(ctx context.Context, next *shards.Assignment) {
+	revision := int64(0)
+	if m.assignment != nil {
+		revision = m.assignment.Revision
+	}
+	m.commitAfter(ctx, next, revision)
+}
+
+// commitAfter is commit on the condition that the stored assignment has the given
+// revision; 0 means that there must be none.
+func (m *assignmentManager) commitAfter(ctx context.Context, next *shards.Assignment, revision int64) {
 	n := m.leadership.node
 	now := n.Clock()
 	value, err := next.Encode()
@@ -211,12 +250,7 @@
 		m.log().Error("shards: assignment can't be encoded", zap.Error(err))
 		return
 	}
-	revision := int64(0)
-	if m.assignment != nil {
-		revision = m.assignment.Revision
-	}
-	result, err := n.Store.Txn(ctx, []store.Compare{{Key: m.key(), ModRevision: revision}, {Key: leaderKey, ModRevision: m.leadership.term}},
-		[]store.Op{store.Put(m.key(), value)})
+	result, err := n.Store.Txn(ctx, append(m.leadership.conditions(), store.Compare{Key: m.key(), ModRevision: revision}), []store.Op{store.Put(m.key(), value)})
 	n.recordStoreResult(err)
 	if err != nil || !result.Succeeded {
 		m.log().Warn("shards: change not committed", zap.Int64("version", next.Version), zap.Error(err))
@@ -230,6 +264,7 @@
 	defer m.mu.Unlock()
 	next.Revision = result.Revision
 	m.assignment = next
+	n.recordCommitted(m.service, next)
 	m.log().Info("shards: change committed", zap.Int64("version", next.Version), zap.Int("ranges", len(next.Ranges)))
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/registry"
 	"github.com/cassiasill/cassiasill/internal/routes"
+	"github.com/cassiasill/cassiasill/internal/shards"
 	"github.com/cassiasill/cassiasill/internal/store"
 )
 
@@ -112,9 +114,17 @@
 	leaderList *registry.List
 	// needsFullState is true if received changes could not be applied to the
 	// state of this host.
-	needsFullState      bool
-	lastReadAt          boottime.Instant
-	storeEra            store.Era // latest known
+	needsFullState bool
+	lastReadAt     boottime.Instant
+	storeEra       store.Era // latest known
+	serversEra     store.Era // in which the servers were last read
+	// committed holds the newest assignment of each service that this host has
+	// committed or adopted as leader. Hosts learn of it a little later.
+	committed map[string]*shards.Assignment
+	// ledTerm is the last term in which this host led, and followed the leader of
+	// the last term in which it led or a leader has responded to it.
+	ledTerm             int64
+	followed            leaderRecord
 	storeReachable      bool
 	storeReachedAt      boottime.Instant // last successful call
 	retired             bool
@@ -152,7 +162,7 @@
 	if options.RateLimits == nil {
 		options.RateLimits = ratelimit.NewTable(options.Clock, options.Log)
 	}
-	n := &Node{Options: options, view: NewView(), history: newHistory(), tracker: registry.NewTracker(), storeReachable: true, storeEra: store.FirstEra, startedAt: options.Clock(),
+	n := &Node{Options: options, view: NewView(), history: newHistory(), tracker: registry.NewTracker(), storeReachable: true, storeEra: store.FirstEra, serversEra: store.FirstEra, committed: make(map[string]*shards.Assignment), startedAt: options.Clock(),
 		timing: timing{storeOutageTolerance: storeOutageTolerance, formerLeaderWait: storeOutageTolerance, grantExpiry: grantExpiry}}
 	n.view.OnChange(n.history.record)
 	return n
@@ -173,7 +183,7 @@
 	for ctx.Err() == nil {
 		if l := n.currentLeadership(); l != nil {
 			l.run(ctx)
-			n.setLeadership(nil)
+			n.endLeadership(l)
 			continue
 		}
 		n.followOnce(ctx)
@@ -187,10 +197,16 @@
 	return n.leadership
 }
 
-func (n *Node) setLeadership(l *leadership) {
+// endLeadership makes this host follow again. It counts as one of its own relays,
+// so that it may look for a leader in the store at once.
+func (n *Node) endLeadership(l *leadership) {
+	relays := l.relayAddresses()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.leadership = l
+	n.leadership = nil
+	if len(relays) > 0 {
+		n.relays = append(slices.Clone(relays), n.Address)
+	}
 }
 
 // Retire makes the host resign if it leads, and keeps it from leading again.
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -53,14 +53,31 @@
 // queryPeer queries one host, applies the state that it returns and records the
 // leader that it knows. It reports whether the host has responded.
 func (n *Node) queryPeer(ctx context.Context, address string) bool {
+	message := n.requestState(ctx, address, &fleetpb.SyncRequest{Relay: true, Known: &fleetpb.Known{}})
+	if message == nil {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if message.LeaderAddress != "" && message.Term >= n.highestTerm && message.Term != n.unreachableTerm {
+		n.leader = leaderRecord{Host: message.LeaderHost, Address: message.LeaderAddress, Term: message.Term}
+		n.highestTerm = message.Term
+	}
+	return true
+}
+
+// requestState requests the state that this host lacks from another and applies
+// it. It returns nil if the other host does not respond.
+func (n *Node) requestState(ctx context.Context, address string, request *fleetpb.SyncRequest) *fleetpb.SyncResponse {
 	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
 	defer cancel()
+	request.Known = n.addVersions(request.Known, n.baseServerList(false))
 	client := fleetpbconnect.NewFleetServiceClient(n.PeerClient, "http://"+address)
 	sentAt := n.Clock()
-	response, err := client.Sync(ctx, connect.NewRequest(&fleetpb.SyncRequest{Relay: true, Known: n.addVersions(&fleetpb.Known{}, n.baseServerList(false))}))
+	response, err := client.Sync(ctx, connect.NewRequest(request))
 	if err != nil {
 		n.Log.Debug("control: peer does not answer", zap.String("peer", address), zap.Error(err))
-		return false
+		return nil
 	}
 	message := response.Msg
 	if message.Known != nil {
@@ -68,19 +85,19 @@
 		n.Log.Debug("control: state learned from a peer", zap.String("peer", address), zap.Int64("config", message.Known.Config),
 			zap.Int64("config_age_ms", message.ConfigAgeMillis), zap.Int64("servers_age_ms", message.ServersAgeMillis))
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if message.LeaderAddress != "" && message.Term >= n.highestTerm && message.Term != n.unreachableTerm {
-		n.leader = leaderRecord{Host: message.LeaderHost, Address: message.LeaderAddress, Term: message.Term}
-		n.highestTerm = message.Term
-	}
-	return true
+	return message
 }
 
 // relayResponse returns the response to a host that has found no leader: the
-// state that it lacks and the leader that this host knows.
-func (n *Node) relayResponse(known *fleetpb.Known) *fleetpb.SyncResponse {
+// state that it lacks and the leader that this host knows. With recovery, it
+// includes assignments that this host has not published as leader.
+func (n *Node) relayResponse(known *fleetpb.Known, recovery bool) *fleetpb.SyncResponse {
 	snapshot := n.view.Load()
+	if recovery {
+		full := *snapshot
+		full.Assignments = n.newestAssignments()
+		snapshot = &full
+	}
 	if snapshot.Config == nil {
 		snapshot = &Snapshot{}
 	}
@@ -91,6 +108,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	out.LedTerm, out.FollowedTerm = n.ledTerm, n.followed.Term
 	out.LargestCapacity, out.Peers = n.largestHostCapacity, n.relays
 	// A leader that this host can't reach is not passed on.
 	if n.leader.Term != n.unreachableTerm {
--- a/internal/control/relayrecord.go
+++ b/internal/control/relayrecord.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return // strings can always be encoded
 	}
-	result, err := l.node.Store.Txn(ctx, []store.Compare{{Key: leaderKey, ModRevision: l.term}}, []store.Op{store.Put(relaysKey, value)})
+	result, err := l.node.Store.Txn(ctx, l.conditions(), []store.Op{store.Put(relaysKey, value)})
 	l.node.recordStoreResult(err)
 	if err != nil || !result.Succeeded {
 		l.node.Log.Info("control: relays not written", zap.Int64("term", l.term), zap.Error(err))
--- a/internal/control/schedule_test.go
+++ b/internal/control/schedule_test.go
@@ -38,7 +38,7 @@
 func (c *cluster) randomFault() {
 	host := hostNames[c.scheduleRandom.IntN(len(hostNames))]
 	server := fmt.Sprintf("s%d", c.scheduleRandom.IntN(5))
-	switch c.scheduleRandom.IntN(11) {
+	switch c.scheduleRandom.IntN(13) {
 	case 0:
 		c.store.StartOutage()
 	case 1:
@@ -67,6 +67,12 @@
 		c.mu.Lock()
 		c.delayedCallRate = []float64{0, 0.3, 0.6}[c.scheduleRandom.IntN(3)]
 		c.mu.Unlock()
+	case 11:
+		c.copies = append(c.copies, c.store.Copy())
+	case 12:
+		if n := len(c.copies); n > 0 {
+			c.restoreStore(c.copies[n-1-c.scheduleRandom.IntN(min(n, 2))], time.Duration(c.scheduleRandom.IntN(3000))*time.Millisecond)
+		}
 	case 10:
 		if l := c.leader(); l != nil {
 			c.setLinkBlocked(host, l.name, true)
--- a/internal/control/search.go
+++ b/internal/control/search.go
@@ -88,6 +88,7 @@
 	}
 	var leaderEntry store.KeyValue
 	var formerValue []byte
+	var eraKeys []string
 	for _, kv := range items {
 		switch {
 		case kv.Key == leaderKey:
@@ -96,6 +97,8 @@
 			formerValue = kv.Value
 		case kv.Key == relaysKey:
 			n.applyStoredRelays(kv)
+		case strings.HasPrefix(kv.Key, eraPrefix):
+			eraKeys = append(eraKeys, kv.Key)
 		case strings.HasPrefix(kv.Key, assignmentsPrefix):
 			n.applyStoredAssignment(kv)
 		}
@@ -112,12 +115,12 @@
 		if kv, exists, _, err := n.Store.Get(ctx, leaderKey); err == nil && exists {
 			n.recordLeader(kv)
 		} else if err == nil {
-			n.campaign(ctx, 0, formerValue)
+			n.campaign(ctx, 0, formerValue, eraKeys)
 		}
 	case current.Host == n.Host && !retired:
 		// The key was written by an earlier process on this host, which has
 		// ended.
-		n.campaign(ctx, leaderEntry.ModRevision, formerValue)
+		n.campaign(ctx, leaderEntry.ModRevision, formerValue, eraKeys)
 	case current.Term == unreachable:
 		n.awaitElection(ctx, revision)
 	}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cassiasill/cassiasill/internal/registry"
@@ -59,8 +60,15 @@
 	formerLeadersKey  = "cassiasill/former-leaders"
 	relaysKey         = "cassiasill/relays"
 	assignmentsPrefix = "cassiasill/shards/"
+	// eraPrefix is followed by the era of the store in which the leader was
+	// elected; there is one such key. A write of an earlier era that is applied
+	// late expects the key of its era, which a leader elected since has deleted,
+	// even if the revisions that it expects were given out again.
+	eraPrefix = "cassiasill/era/"
 )
 
+func eraKey(era store.Era) string { return eraPrefix + strconv.FormatInt(int64(era), 10) }
+
 // Timing of leadership and ownership. The grant durations ensure that a range
 // is reassigned only after no server can still hold it.
 const (
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -23,7 +23,7 @@
 		l.stepDown("another host leads a later term")
 	}
 	if r.Msg.Relay {
-		return connect.NewResponse(n.relayResponse(known)), nil
+		return connect.NewResponse(n.relayResponse(known, r.Msg.Recovery)), nil
 	}
 	if l == nil || l.hasEnded() {
 		return connect.NewResponse(&fleetpb.SyncResponse{}), nil
--- a/internal/shards/assignment.go
+++ b/internal/shards/assignment.go
@@ -13,6 +13,8 @@
 	"fmt"
 	"sort"
 	"time"
+
+	"github.com/cassiasill/cassiasill/internal/store"
 )
 
 // PositionCount is the number of key positions.
@@ -129,6 +131,49 @@
 	return &a.Ranges[i]
 }
 
+// eraVersionBits is how many bits of a version count the changes within one era.
+const eraVersionBits = 32
+
+// FirstVersionOf returns a version that is above all versions, and so all fencing
+// tokens, of earlier eras of the store. Those may be known to servers although the
+// restored store has lost them.
+func FirstVersionOf(era store.Era) int64 { return int64(era-store.FirstEra) << eraVersionBits }
+
+// NextVersionIn returns a copy with the next version in an era of the store.
+func (a *Assignment) NextVersionIn(era store.Era) *Assignment {
+	next := a.NextVersion()
+	next.Version = max(next.Version, FirstVersionOf(era))
+	return next
+}
+
+// WithVersion returns a copy with the version as its own and as the token of all
+// ranges that are held.
+func (a *Assignment) WithVersion(version int64) *Assignment {
+	out := &Assignment{Version: version, Ranges: append([]Range(nil), a.Ranges...)}
+	for i := range out.Ranges {
+		if out.Ranges[i].Held() {
+			out.Ranges[i].Token = version
+		}
+	}
+	return out
+}
+
+// PositionsNotOwnedBy returns the ranges of positions that the server does not own.
+func (a *Assignment) PositionsNotOwnedBy(server string) []Move {
+	var out []Move
+	for _, r := range a.Ranges {
+		if r.Held() && r.Owner == server {
+			continue
+		}
+		if n := len(out); n > 0 && int(out[n-1].To)+1 == int(r.From) {
+			out[n-1].To = r.To
+			continue
+		}
+		out = append(out, Move{From: r.From, To: r.To})
+	}
+	return out
+}
+
 // NextVersion returns a copy with the next version, to be modified and committed.
 func (a *Assignment) NextVersion() *Assignment {
 	return &Assignment{Version: a.Version + 1, Ranges: append([]Range(nil), a.Ranges...)}
