Order configurations by their version, not by the store's revision

Cause: hosts took the configuration with the higher revision for the newer one. Once revisions rise with the era, the copy's older configuration would even win over the one in memory; with plain revisions the newer one was ignored. The operators' version only rises, whatever the store has lost.

Change: the version decides, then the revision. Hosts keep the newest configuration that any of them knows, and log one line if the store has an older one. Syncs carry the version; hosts of older builds are served by revision.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -69,7 +69,8 @@
 // applyStoredConfig applies a configuration that the store held at the given
 // instant. One that can't be decoded leaves the current one in force.
 func (n *Node) applyStoredConfig(kv store.KeyValue, at boottime.Instant) {
-	if current := n.view.Load().Config; current != nil && kv.ModRevision <= current.Revision {
+	current := n.view.Load().Config
+	if current != nil && kv.ModRevision == current.Revision {
 		n.view.setConfig(nil, nil, at)
 		return
 	}
@@ -78,6 +79,13 @@
 		n.Log.Warn("control: configuration rejected", zap.Int64("revision", kv.ModRevision), zap.Error(err))
 		return
 	}
+	if !config.IsNewerThan(current) {
+		if config.Revision > current.Revision {
+			n.Log.Warn("control: configuration in the store is older than the one in force, which stays", zap.Int64("version", current.Version), zap.Int64("stored_version", config.Version), zap.Int64("era", int64(store.EraOf(kv.ModRevision))))
+		}
+		n.view.setConfig(nil, nil, at)
+		return
+	}
 	n.Log.Info("control: configuration in force", zap.Int64("version", config.Version), zap.Int64("revision", config.Revision))
 	n.view.setConfig(config, kv.Value, at)
 }
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -59,6 +59,7 @@
 	startedAt      time.Time
 	configure      func(*Node)
 	copies         []*memory.Copy // of the store, used by the fault schedule
+	emptyCopy      *memory.Copy   // from before the hosts' first write
 
 	mu                  sync.Mutex
 	servers             map[string]*fakeServer // by address
@@ -92,6 +93,7 @@
 	for i := range servers {
 		c.startServer(fmt.Sprintf("s%d", i))
 	}
+	c.emptyCopy = c.store.Copy()
 	for i := range hosts {
 		c.startHost(fmt.Sprintf("h%d", i))
 	}
--- a/internal/control/restore_test.go
+++ b/internal/control/restore_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
+	"github.com/cassiasill/cassiasill/internal/shards"
+	"github.com/cassiasill/cassiasill/internal/store"
 	"github.com/cassiasill/cassiasill/internal/store/memory"
 )
 
@@ -42,12 +46,27 @@
 // restoreCase is a way in which the store goes back to an older copy.
 type restoreCase struct {
 	name string
-	// prepare runs before the copy is taken, if not nil.
-	prepare func(*cluster)
+	// hideChanges keeps the changes since the copy from all hosts but the leader.
+	hideChanges bool
 	// restore takes the store back to the copy.
 	restore func(*cluster, *memory.Copy)
 }
 
+// setFollowersCut cuts all hosts but the leader off from the leader and the store,
+// or reconnects them.
+func (c *cluster) setFollowersCut(leader *testHost, cut bool) {
+	c.setIsolated(leader, cut)
+	for _, name := range hostNames {
+		switch {
+		case name == leader.name:
+		case cut:
+			c.store.Partition(name)
+		default:
+			c.store.Heal(name)
+		}
+	}
+}
+
 // replaceLeaderHost kills the leader and waits for the next one.
 func replaceLeaderHost(c *cluster) *testHost {
 	first := c.leader()
@@ -125,6 +144,87 @@
 			time.Sleep(500 * time.Millisecond)
 			c.crashServer("s3")
 		}},
+		{name: "last leader lost with changes that no host knows", hideChanges: true, restore: func(c *cluster, old *memory.Copy) {
+			l := c.leader()
+			c.store.StartOutage()
+			c.killHost(l)
+			c.setFollowersCut(l, false)
+			c.restoreStore(old, 200*time.Millisecond)
+		}},
+		{name: "last leader cut off with changes that no host knows", hideChanges: true, restore: func(c *cluster, old *memory.Copy) {
+			l := c.leader()
+			c.store.StartOutage()
+			c.setFollowersCut(l, false)
+			c.setIsolated(l, true)
+			c.store.Partition(l.name)
+			c.restoreStore(old, 200*time.Millisecond)
+			time.Sleep(5 * time.Second)
+			c.setIsolated(l, false)
+			c.store.Heal(l.name)
+		}},
+		{name: "last leader tells changes that no host knows", hideChanges: true, restore: func(c *cluster, old *memory.Copy) {
+			l := c.leader()
+			c.store.StartOutage()
+			c.setFollowersCut(l, false)
+			c.store.Partition(l.name)
+			c.restoreStore(old, 200*time.Millisecond)
+		}},
+		{name: "only a new host reaches the store", restore: func(c *cluster, old *memory.Copy) {
+			c.store.StartOutage()
+			for _, name := range hostNames {
+				c.store.Partition(name)
+			}
+			c.killHost(c.leader())
+			c.startHost("h9")
+			c.restoreStore(old, time.Second)
+		}},
+		{name: "all hosts are new and the last leader renews on", restore: func(c *cluster, old *memory.Copy) {
+			l := c.leader()
+			c.store.StartOutage()
+			c.store.Partition(l.name)
+			c.setIsolated(l, true)
+			for _, name := range hostNames {
+				if name != l.name {
+					c.killHost(c.hosts["host-"+name])
+				}
+			}
+			for _, server := range []string{"s1", "s3", "s4"} {
+				c.setLinkBlocked("h9", server, true)
+			}
+			c.startHost("h9")
+			c.setLinkBlocked("h9", l.name, true)
+			c.restoreStore(old, time.Second)
+			time.Sleep(8 * time.Second)
+			for _, server := range []string{"s1", "s3", "s4"} {
+				c.setLinkBlocked("h9", server, false)
+			}
+		}},
+		{name: "all hosts are new", restore: func(c *cluster, old *memory.Copy) {
+			c.store.StartOutage()
+			for _, name := range hostNames {
+				c.killHost(c.hosts["host-"+name])
+			}
+			c.startHost("h8")
+			c.startHost("h9")
+			c.restoreStore(old, time.Second)
+		}},
+		{name: "change without an outcome before the outage", restore: func(c *cluster, old *memory.Copy) {
+			c.cutServer("s4", true)
+			time.Sleep(1500 * time.Millisecond)
+			c.restoreStore(old, 2*time.Second)
+			c.cutServer("s4", false)
+		}},
+		{name: "copy from before the first assignment", restore: func(c *cluster, _ *memory.Copy) {
+			c.restoreStore(c.emptyCopy, time.Second)
+		}},
+		{name: "all hosts are new and the copy has no assignment", restore: func(c *cluster, _ *memory.Copy) {
+			c.store.StartOutage()
+			for _, name := range hostNames {
+				c.killHost(c.hosts["host-"+name])
+			}
+			c.startHost("h9")
+			c.restoreStore(c.emptyCopy, time.Second)
+		}},
 		{name: "calls of the old era arrive late", restore: func(c *cluster, old *memory.Copy) {
 			c.mu.Lock()
 			c.delayedCallRate = 0.3
@@ -144,6 +244,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 4, 5, seed, options)
 		time.Sleep(6 * time.Second)
+		if play.hideChanges {
+			c.setFollowersCut(c.leader(), true)
+		}
 		play.restore(c, c.moveKeysSince())
 		time.Sleep(25 * time.Second)
 		if missing := c.unservedPositions(); missing > 0 {
@@ -165,6 +268,46 @@
 	}
 }
 
+// Guards against a new leader that gets only what a former leader has published,
+// not what it has committed.
+func TestRecoveryIncludesUnpublishedAssignments(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, 3, 15, nil)
+		time.Sleep(6 * time.Second)
+		n := c.leader().node
+		published := n.View().Load().Assignments["svc"].Version
+		n.recordCommitted("svc", n.View().Load().Assignments["svc"].NextVersion())
+		versionIn := func(recovery bool) int64 {
+			response := n.relayResponse(&fleetpb.Known{}, recovery)
+			a, err := shards.Decode(response.Shards[0].Document, 1)
+			assert.NilError(t, err)
+			return a.Version
+		}
+		normal, recovery := versionIn(false), versionIn(true)
+		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
+		assert.Equal(t, normal, published)
+		assert.Equal(t, recovery, published+1)
+	})
+}
+
+// Guards against a write of an earlier era that is applied late, under revisions
+// that have been given out again by chance.
+func TestRecoveryShutsOutLateWritesOfTheLostEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 3, 16, nil)
+		time.Sleep(6 * time.Second)
+		late := c.leader().node.currentLeadership().conditions()
+		c.restoreStore(c.store.Copy(), time.Second)
+		time.Sleep(4 * time.Second)
+		current := c.leader().node.currentLeadership().term
+		late[0].ModRevision = store.WithoutEra(current)
+		result, err := c.store.RawClient("late").Txn(context.Background(), late, []store.Op{store.Put("late", nil)})
+		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
+		assert.NilError(t, err)
+		assert.Assert(t, !result.Succeeded)
+	})
+}
+
 // Guards against keys that stay without an owner while a leader in place writes
 // again what the store has lost.
 func TestRestoredStoreKeepsKeysServed(t *testing.T) {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -10,6 +10,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
+	"github.com/cassiasill/cassiasill/internal/routes"
 )
 
 // Sync implements fleetpbconnect.FleetServiceHandler.
@@ -121,8 +122,8 @@
 		ServersRevision: snapshot.ServersRevision}
 	hasUpdate := false
 	if snapshot.Config != nil {
-		out.Known.Config = snapshot.Config.Revision
-		if known.Config < snapshot.Config.Revision {
+		out.Known.Config, out.Known.ConfigVersion = snapshot.Config.Revision, snapshot.Config.Version
+		if lacksConfig(known, snapshot.Config) {
 			out.Config, hasUpdate = snapshot.RawConfig, true
 		}
 	}
@@ -149,6 +150,15 @@
 	return out, hasUpdate
 }
 
+// lacksConfig reports whether a host with the given versions lacks a
+// configuration. A host of an older build knows its revision only.
+func lacksConfig(known *fleetpb.Known, config *routes.Config) bool {
+	if known.ConfigVersion == 0 {
+		return known.Config < config.Revision
+	}
+	return config.IsNewerThan(&routes.Config{Version: known.ConfigVersion, Revision: known.Config})
+}
+
 func (l *leadership) isSuccessorWanted() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -31,7 +31,7 @@
 	out := &fleetpb.Known{Term: known.Term, Blocked: known.Blocked, Placement: known.Placement, RateLimits: known.RateLimits, Assignments: make(map[string]int64)}
 	snapshot := n.view.Load()
 	if snapshot.Config != nil {
-		out.Config = snapshot.Config.Revision
+		out.Config, out.ConfigVersion = snapshot.Config.Revision, snapshot.Config.Version
 	}
 	n.mu.Lock()
 	full := n.needsFullState
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -127,7 +127,7 @@
 func (v *View) setConfig(config *routes.Config, raw []byte, at boottime.Instant) {
 	v.update(func(next *Snapshot) bool {
 		next.ConfigConfirmedAt = max(next.ConfigConfirmedAt, at)
-		if config == nil || next.Config != nil && config.Revision <= next.Config.Revision {
+		if config == nil || !config.IsNewerThan(next.Config) {
 			return false
 		}
 		next.Config, next.RawConfig = config, raw
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -83,6 +83,14 @@
 	routesByHostname map[string][]*Route // by lowercase hostname, longest prefix first
 }
 
+// IsNewerThan reports whether c replaces the other configuration, which may be
+// nil. Operators only raise the version, so it also orders configurations of
+// which the store has lost some. Of two with the same version, the one written
+// later is newer.
+func (c *Config) IsNewerThan(other *Config) bool {
+	return other == nil || c.Version > other.Version || c.Version == other.Version && c.Revision > other.Revision
+}
+
 // NewConfig returns a configuration with the given routes by hostname.
 func NewConfig(version, revision int64, services []Service, limits Limits, routesByHostname map[string][]Route) *Config {
 	c := &Config{Version: version, Revision: revision, Limits: limits,
