Keep what is known of servers while a restored store has outdated entries

What callers saw: tries at servers that had left, and keys taken from servers that had started since the copy, until the servers wrote again. Cause: a listing counts as newer than what the host knew, whatever era it is from (same class: a version that only rises). Change: for the grace period of an outage after a restore, missing entries stay, entries of an earlier start do not replace a later one, and removed servers stay removed. The test fails without it (left is back, again is at start 1, new is gone).

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -163,6 +163,10 @@
 		n.tracker.RecordReadFailure(startedAt)
 		return false
 	}
+	if era := n.Store.Era(); era != n.serversEra {
+		n.serversEra = era
+		n.tracker.RecordRestore(startedAt)
+	}
 	n.tracker.Observe(slices.Collect(maps.Values(n.reader.entries)), startedAt)
 	n.view.setServers(n.tracker.List(), startedAt, n.reader.revision)
 	return true
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -95,8 +95,9 @@
 	history *history
 	// tracker and reader are used by one goroutine only: that of Run while this
 	// host follows, and the leadership's goroutine for servers while it leads.
-	tracker *registry.Tracker
-	reader  serverReader
+	tracker    *registry.Tracker
+	reader     serverReader
+	serversEra store.Era // in which the servers were last read
 
 	mu sync.Mutex
 	// leadership is the current leadership, or nil while this host follows.
@@ -117,7 +118,6 @@
 	needsFullState bool
 	lastReadAt     boottime.Instant
 	storeEra       store.Era // latest known
-	serversEra     store.Era // in which the servers were last read
 	// committed holds the newest assignment of each service that this host has
 	// committed or adopted as leader. Hosts learn of it a little later.
 	committed map[string]*shards.Assignment
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -116,11 +116,15 @@
 	servers      map[string]Server
 	failingSince boottime.Instant // when reads began to fail; 0 if they succeed
 	graceEnd     boottime.Instant
+	// restoreGraceEnd is until when reads may come from a restored store whose
+	// entries have not been written again.
+	restoreGraceEnd boottime.Instant
+	removed         map[string]int64 // incarnations of removed servers, by ID
 }
 
 // NewTracker returns a Tracker with an empty list.
 func NewTracker() *Tracker {
-	return &Tracker{servers: make(map[string]Server)}
+	return &Tracker{servers: make(map[string]Server), removed: make(map[string]int64)}
 }
 
 // Observe updates the list with a complete read that began at the given instant,
@@ -132,9 +136,15 @@
 	t.failingSince = 0
 	changed := false
 	seen := make(map[string]bool, len(servers))
+	restored := began.Before(t.restoreGraceEnd)
 	for _, s := range servers {
-		seen[s.ID] = true
 		previous, known := t.servers[s.ID]
+		if restored && (known && s.Incarnation < previous.Incarnation || !known && s.Incarnation <= t.removed[s.ID]) {
+			// The entry is from before the server's last start or its end.
+			seen[s.ID] = known
+			continue
+		}
+		seen[s.ID] = true
 		if known && previous.Incarnation == s.Incarnation {
 			s.Draining = s.Draining || previous.Draining
 			s.Speed = previous.Speed
@@ -151,6 +161,7 @@
 	}
 	for id := range t.servers {
 		if !seen[id] && !began.Before(t.graceEnd) {
+			t.removed[id] = t.servers[id].Incarnation
 			delete(t.servers, id)
 			changed = true
 		}
@@ -182,6 +193,14 @@
 	}
 }
 
+// RecordRestore records that reads from the given instant on are from a store that
+// was restored from an older copy. Servers that started or left since the copy have
+// outdated entries until they write again or their entries expire.
+func (t *Tracker) RecordRestore(at boottime.Instant) {
+	t.graceEnd = max(t.graceEnd, at.Add(PostOutageGrace))
+	t.restoreGraceEnd = at.Add(PostOutageGrace)
+}
+
 // RecordStoreReachable records that another host reached the store at the given
 // instant. Failed reads of this host before it were then no outage of the store, in
 // which entries expire without being renewed: servers whose entries are missing
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -63,3 +63,23 @@
 	assert.Assert(t, tracker.Observe(nil, at(30)))
 	assert.Equal(t, serverCount(tracker.List()), 0)
 }
+
+// Guards against a restored store that brings back servers that have left, ends
+// incarnations that run, and hides servers that have just started.
+func TestRestoredEntriesDoNotReplaceNewerOnes(t *testing.T) {
+	tracker := NewTracker()
+	tracker.Observe([]Server{{ID: "left", Incarnation: 1}, {ID: "again", Incarnation: 1}}, at(0))
+	tracker.Observe([]Server{{ID: "again", Incarnation: 5}, {ID: "new", Incarnation: 6}}, at(1))
+	tracker.RecordRestore(at(3))
+	tracker.Observe([]Server{{ID: "left", Incarnation: 1}, {ID: "again", Incarnation: 1}}, at(3))
+	servers := tracker.List().Servers
+	assert.Equal(t, len(servers), 2)
+	assert.Equal(t, servers["again"].Incarnation, int64(5))
+	assert.Equal(t, servers["new"].Incarnation, int64(6))
+	// What is not written again within the grace period counts.
+	tracker.Observe([]Server{{ID: "again", Incarnation: 5}}, at(6))
+	assert.Equal(t, serverCount(tracker.List()), 1)
+	// A server that was removed and registers again later is used again.
+	tracker.Observe([]Server{{ID: "again", Incarnation: 5}, {ID: "left", Incarnation: 1}}, at(7))
+	assert.Equal(t, serverCount(tracker.List()), 2)
+}
