Reach servers by way of other hosts while a host is cut off from them

Cause (hypotheses 1 to 3, all true): a host reached servers by its own connections only; its failures counted as those of the servers, for all hosts; and a leader that reached no server led on, so that grants ran out and ranges were taken from healthy servers. Class: a host that can be reached is taken for one that can reach what it is to direct.

Change: a host that fails to connect to three servers without a success between is cut off. It then asks a peer to open the connection and to copy the bytes. The peer confirms the connection before a byte of a request is sent, so what was not sent is still known; it connects directly only, so there are no circles; deadlines, the retry budget and the proofs of what ran stay with the host that has the request. A cut host's failures are inconclusive to dispatchers, speeds and crash counts. A leader that is cut off gives way to a host that is not. If no host reaches a server, requests are rejected at once with the time to come back. The leader names four hosts to each host, in addition to the relays, so that the load is spread. Log lines, gauges and counters tell since when a host is cut and what goes by peers.

Why it works: the path to the servers that is left is that of the other hosts, and nothing above the connection needs to know of it.

--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -21,6 +21,7 @@
 	address                 string
 	dispatchAddress         string
 	capacity                float64
+	cutOff                  bool // from all servers
 }
 
 // campaign tries to become leader by replacing the leader's key, which must be
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -84,7 +84,9 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	request := &fleetpb.SyncRequest{Host: n.Host, Address: n.Address, DispatchAddress: n.DispatchAddress, Capacity: n.Capacity, WaitMillis: syncWait.Milliseconds()}
+	request.CutOff = n.CutOff()
 	n.mu.Lock()
+	request.Detours = uint32(len(n.detours))
 	request.Known = n.knownVersions
 	request.StoreAgeMillis = -1
 	if n.storeReachedAt != 0 {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -72,6 +72,7 @@
 	versions          snapshotVersions
 	versionedSnapshot *Snapshot // the snapshot that versions describe
 	relays            []string  // addresses
+	reachingServers   []string  // addresses of hosts that are not cut off from servers
 	// storedRelays is the last list written to the store, at relaysStoredAt.
 	storedRelays   []string
 	relaysStoredAt boottime.Instant
@@ -200,6 +201,10 @@
 		return
 	}
 	now := n.Clock()
+	if n.CutOff() && l.canHandOver(now) {
+		l.stepDown("cut off from the servers")
+		return
+	}
 	ownReport := &fleetpb.SyncRequest{}
 	n.Reports.drainInto(ownReport)
 	l.recordReport(ownReport, now)
@@ -319,6 +324,7 @@
 	}
 	dispatchers := l.chooseDispatchers(now)
 	l.chooseRelays()
+	l.chooseDetours()
 	succession := l.evaluateSuccession(now)
 	l.successorWanted = succession.wanted
 	n.tracker.RecordStoreReachable(l.storeReachedAt)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -50,6 +50,9 @@
 	initialLeaderWait = 1500 * time.Millisecond
 	// peerRetryDelay is the delay after queries to peers that found no leader.
 	peerRetryDelay = 150 * time.Millisecond
+	// cutOffElectionDelay is how much later a host stands for election that is cut
+	// off from all servers.
+	cutOffElectionDelay = time.Second
 	// electionJitter bounds the random delay before a campaign, so that hosts
 	// do not campaign at once.
 	electionJitter = 120 * time.Millisecond
@@ -82,8 +85,11 @@
 	// all hosts and passes them on.
 	RateLimits *ratelimit.Table
 	PeerClient *http.Client
-	Clock      boottime.Clock
-	Log        *zap.Logger
+	// CutOff reports whether this host is cut off from all servers. Such a host
+	// does not lead while another can.
+	CutOff func() bool
+	Clock  boottime.Clock
+	Log    *zap.Logger
 }
 
 // Node runs one host's part in the coordination of the deployment, as a
@@ -129,6 +135,7 @@
 	storeReachedAt      boottime.Instant // last successful call
 	retired             bool
 	relays              []string // addresses, as sent by the leader
+	detours             []string // addresses of hosts that reach the servers, as sent by the leader
 	largestHostCapacity float64  // capacity of the largest live host; 0 if unknown
 	// successorWanted is true if the leader wants to give way to a larger host.
 	successorWanted bool
@@ -159,6 +166,9 @@
 // NewNode returns a Node with an empty View.
 func NewNode(options Options) *Node {
 	options.Log = options.Log.Named("control")
+	if options.CutOff == nil {
+		options.CutOff = func() bool { return false }
+	}
 	if options.RateLimits == nil {
 		options.RateLimits = ratelimit.NewTable(options.Clock, options.Log)
 	}
--- a/internal/control/search.go
+++ b/internal/control/search.go
@@ -109,7 +109,11 @@
 	n.mu.Unlock()
 	switch {
 	case leaderEntry.Key == "" && !retired && n.maySearchStore():
-		n.sleep(ctx, time.Duration(rand.Float64()*float64(electionJitter))+electionDelay(n.Capacity, n.largestCapacity()))
+		delay := time.Duration(rand.Float64()*float64(electionJitter)) + electionDelay(n.Capacity, n.largestCapacity())
+		if n.CutOff() {
+			delay += cutOffElectionDelay
+		}
+		n.sleep(ctx, delay)
 		// A campaign takes three calls, and another host may have been elected
 		// during the delay.
 		if kv, exists, _, err := n.Store.Get(ctx, leaderKey); err == nil && exists {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -37,6 +37,9 @@
 	for {
 		changed := n.view.Changed()
 		response, hasUpdate := l.updateFor(known)
+		if r.Msg.CutOff || r.Msg.Detours < wantedDetours {
+			response.Detours = l.detoursFor(r.Msg.Address)
+		}
 		if hasUpdate || wait <= 0 {
 			return connect.NewResponse(response), nil
 		}
@@ -57,7 +60,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if report.Host != "" && report.Host != l.node.Host {
-		peer := peerHost{firstSyncAt: now, lastSyncAt: now, address: report.Address, dispatchAddress: report.DispatchAddress, capacity: report.Capacity}
+		peer := peerHost{firstSyncAt: now, lastSyncAt: now, address: report.Address, dispatchAddress: report.DispatchAddress, capacity: report.Capacity, cutOff: report.CutOff}
 		if old, known := l.hosts[report.Host]; known {
 			peer.firstSyncAt, peer.storeReachedAt = old.firstSyncAt, old.storeReachedAt
 		}
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -110,6 +110,9 @@
 	if len(response.Peers) > 0 {
 		n.relays = response.Peers
 	}
+	if len(response.Detours) > 0 {
+		n.detours = response.Detours
+	}
 }
 
 // clampAge converts a reported age and limits it. A negative age counts as
--- /dev/null
+++ b/internal/detour/server.go
@@ -0,0 +1,129 @@
+package detour
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/exchange"
+)
+
+// Path is where a host takes requests for detours.
+const Path = "/detour"
+
+const (
+	serverParameter = "server"
+	protocol        = "cassiasill-detour"
+)
+
+// Server opens connections to servers for hosts that are cut off from them.
+type Server struct {
+	tracker *Tracker
+	dial    exchange.DialFunc
+	// isServer reports whether new connections to the address may be opened.
+	isServer func(address string) bool
+	onDetour func()
+	log      *zap.Logger
+}
+
+// NewServer returns a Server that connects only to addresses for which isServer
+// returns true. onDetour is called for each connection opened.
+func NewServer(tracker *Tracker, dial exchange.DialFunc, isServer func(address string) bool, onDetour func(), log *zap.Logger) *Server {
+	return &Server{tracker: tracker, dial: tracker.Observe(dial), isServer: isServer, onDetour: onDetour, log: log}
+}
+
+// ServeHTTP opens a connection and copies bytes until one side ends.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	address := r.URL.Query().Get(serverParameter)
+	switch {
+	case r.Header.Get("Upgrade") != protocol:
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	case !s.isServer(address):
+		w.WriteHeader(http.StatusNotFound)
+		return
+	case s.tracker.IsCut():
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), exchange.DialTimeout)
+	defer cancel()
+	server, err := s.dial(ctx, "tcp", address)
+	if err != nil {
+		status := http.StatusBadGateway
+		if s.tracker.IsCut() {
+			status = http.StatusServiceUnavailable
+		}
+		w.WriteHeader(status)
+		return
+	}
+	host, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		s.log.Warn("detour: connection not taken over", zap.Error(err))
+		_ = server.Close() // unused
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	s.onDetour()
+	if err := confirm(host, buffered.Reader); err != nil {
+		s.log.Debug("detour: connection not confirmed", zap.Error(err))
+		reset(host)
+		reset(server)
+		return
+	}
+	copyBoth(host, server)
+}
+
+// confirm tells the host that its connection now leads to the server.
+func confirm(host net.Conn, reader *bufio.Reader) error {
+	if reader.Buffered() > 0 {
+		return errors.New("the host sent bytes before the connection was confirmed")
+	}
+	if err := host.SetDeadline(time.Time{}); err != nil {
+		return err
+	}
+	_, err := io.WriteString(host, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n")
+	return err
+}
+
+// copyBoth copies bytes in both directions. A connection that ends regularly is
+// closed at the other side too, and one that breaks is reset there: a response
+// without a length is complete only if its connection ends regularly.
+func copyBoth(host, server net.Conn) {
+	var group conc.WaitGroup
+	group.Go(func() { copyUntilEnd(server, host) })
+	group.Go(func() { copyUntilEnd(host, server) })
+	group.Wait()
+}
+
+// copyBufferBytes is the buffer of one direction.
+const copyBufferBytes = 16 << 10
+
+// copyUntilEnd copies from source to target and then closes both.
+func copyUntilEnd(target, source net.Conn) {
+	// The wrappers hide methods with which io would use buffers of its own.
+	_, err := io.CopyBuffer(struct{ io.Writer }{target}, struct{ io.Reader }{source}, make([]byte, copyBufferBytes))
+	if err != nil {
+		reset(target)
+		reset(source)
+		return
+	}
+	// Errors are of connections that the other direction has closed.
+	_ = target.Close()
+	_ = source.Close()
+}
+
+// reset closes a connection so that its peer sees an error.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = c.Close()
+}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -95,11 +95,12 @@
 
 // The outcomes.
 const (
-	Succeeded   Outcome = iota
-	Failed              // an error response, or a response that broke off
-	Shed                // rejected by the server because of load
-	Unreachable         // no connection; nothing was sent
-	Abandoned           // ended in a way that says nothing about the server
+	Succeeded    Outcome = iota
+	Failed               // an error response, or a response that broke off
+	Shed                 // rejected by the server because of load
+	Unreachable          // no connection; nothing was sent
+	Inconclusive         // failed at a host that may be cut off from all servers
+	Abandoned            // ended in a way that says nothing about the server
 )
 
 // OwnerState is what is known of the owner of a key position.
@@ -349,6 +350,8 @@
 			s.recordSample(request.work, elapsed)
 		}
 		return
+	case Inconclusive:
+		return
 	case Succeeded:
 		s.failureRate *= 1 - failureWeight
 		s.backoff = 0
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -15,6 +15,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/apierror"
 	"github.com/cassiasill/cassiasill/internal/control"
+	"github.com/cassiasill/cassiasill/internal/detour"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/placing"
@@ -36,6 +37,8 @@
 	// noConfigRetryAfter is the Retry-After value while the host has no
 	// configuration.
 	noConfigRetryAfter = 300 * time.Millisecond
+	// noPathRetryAfter is the Retry-After value while no host reaches the servers.
+	noPathRetryAfter = time.Second
 	// minRetryTimeFraction is the least time left for a retry, as a fraction of the
 	// expected work; with less time a retry cannot succeed.
 	minRetryTimeFraction = 0.5
@@ -51,8 +54,10 @@
 	ServerPools      *ServerPools
 	RetryBudget      *RetryBudget
 	RateLimits       *ratelimit.Table
-	Metrics          *Metrics
-	Log              *zap.Logger
+	// Reach judges whether this host is cut off from the servers.
+	Reach   *detour.Tracker
+	Metrics *Metrics
+	Log     *zap.Logger
 }
 
 // Handler forwards callers' requests to servers.
@@ -67,6 +72,9 @@
 // NewHandler returns a Handler.
 func NewHandler(options Options) *Handler {
 	options.Log = options.Log.Named("entry")
+	if options.Reach == nil {
+		options.Reach = detour.NewTracker()
+	}
 	return &Handler{Options: options, splitter: routes.NewSplitter(), splitOffset: rand.Float64(), costs: newCostEstimator()}
 }
 
@@ -204,6 +212,9 @@
 		}
 		h.RateLimits.CountAllowed(decision.Server)
 		result := h.attempt(ctx, q, decision, ticket)
+		if errors.Is(result.Err, detour.ErrNoPath) {
+			return result, &apierror.Error{Kind: kindIfNotExecuted(q.attempts, apierror.KindNoUpstream), Detail: "cut off from all servers", Err: result.Err, RetryAfter: noPathRetryAfter}
+		}
 		v := decideAfterAttempt(q.route.Kind, q.route.MaxAttempts, q.attempts, result)
 		if v.action == actionRetry && !h.mayRetry(q, v) {
 			v = h.decideWithoutRetry(q, result)
@@ -236,7 +247,7 @@
 	took := time.Since(sentAt)
 	h.observeRateLimit(server, result, took)
 	h.recordAttempt(q, decision, result, took)
-	h.Placer.Release(ticket, dispatchResult(result))
+	h.Placer.Release(ticket, h.judgeServer(result))
 	h.Metrics.recordAttempt(result, took)
 	if result.Outcome != exchange.Answered || result.Status >= http.StatusInternalServerError {
 		h.Log.Info("entry: try ended without success", zap.String("request", q.id), zap.String("route", q.route.Name),
@@ -293,12 +304,34 @@
 		}
 		return
 	}
+	if h.isMisleading(result) {
+		return
+	}
 	h.Reports.CountResponse(decision.Server, true, 0, 0)
 	if result.Outcome == exchange.Broken {
 		h.Reports.ReportCrash(h.fingerprint(q), decision.Server, false)
 	}
 }
 
+// isMisleading reports whether a failure may be that of this host's path to the
+// servers, so that it says nothing about the server.
+func (h *Handler) isMisleading(result exchange.Result) bool {
+	switch result.Outcome {
+	case exchange.NotSent, exchange.Broken, exchange.TimedOut:
+		return h.Reach.MayMislead(time.Now())
+	default:
+		return false
+	}
+}
+
+// judgeServer returns what a result tells the dispatcher about the server.
+func (h *Handler) judgeServer(result exchange.Result) dispatch.Result {
+	if h.isMisleading(result) {
+		return dispatch.Result{Outcome: dispatch.Inconclusive}
+	}
+	return dispatchResult(result)
+}
+
 // dispatchResult converts a result for the dispatcher.
 func dispatchResult(result exchange.Result) dispatch.Result {
 	out := dispatch.Result{Running: result.Load.Running, Waiting: result.Load.Waiting, HasLoad: result.HasLoad}
--- a/internal/entry/serverpools.go
+++ b/internal/entry/serverpools.go
@@ -166,3 +166,13 @@
 		p.pool.CloseExpiredConns(now)
 	}
 }
+
+// CloseIdleConns closes all idle connections. They are of no use once the path to the
+// servers has changed: they hang during a cut, and take a detour after it.
+func (s *ServerPools) CloseIdleConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.pools {
+		p.pool.CloseIdleConns()
+	}
+}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -12,6 +12,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control"
+	"github.com/cassiasill/cassiasill/internal/detour"
 	"github.com/cassiasill/cassiasill/internal/entry"
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/kernel"
@@ -61,7 +62,10 @@
 	// system.
 	Listen ListenFunc
 	Dial   exchange.DialFunc
-	Clock  boottime.Clock
+	// Reach judges whether this host is cut off from the servers. The grant client
+	// must tell it too.
+	Reach *detour.Tracker
+	Clock boottime.Clock
 	// Metrics are served on MetricsAddress.
 	Metrics *Metrics
 	Log     *zap.Logger
@@ -87,6 +91,9 @@
 	if err := registerGauges(options.Metrics.Meter("control"), controls.node); err != nil {
 		return nil, err
 	}
+	if err := registerReachGauges(options.Metrics.Meter("detour"), options.Reach); err != nil {
+		return nil, err
+	}
 	dispatching := newDispatchService(options, limits)
 	budget := entry.NewRetryBudget(options.RetryShare, options.RetryBurst, options.RetryWindow)
 	entries := &entryService{options: options, metrics: options.Metrics.entry, budget: budget, limits: limits}
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/cassiasill/cassiasill/internal/control"
+	"github.com/cassiasill/cassiasill/internal/detour"
 	"github.com/cassiasill/cassiasill/internal/entry"
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/store"
@@ -20,6 +22,9 @@
 	entry        *entry.Metrics
 	storeCalls   metric.Int64Counter
 	linesOmitted metric.Int64Counter
+	usedDetours  metric.Int64Counter
+	// servedDetours counts the connections that this host opened for others.
+	servedDetours metric.Int64Counter
 }
 
 // NewMetrics creates the instruments of a host.
@@ -35,6 +40,12 @@
 	if m.storeCalls, err = set.Meter("control").Int64Counter("control.store_calls", metric.WithDescription("Calls to the store by kind and result.")); err != nil {
 		return nil, err
 	}
+	if m.usedDetours, err = set.Meter("detour").Int64Counter("detour.used", metric.WithDescription("Connections to servers by way of other hosts.")); err != nil {
+		return nil, err
+	}
+	if m.servedDetours, err = set.Meter("detour").Int64Counter("detour.served", metric.WithDescription("Connections to servers for other hosts.")); err != nil {
+		return nil, err
+	}
 	m.linesOmitted, err = set.Meter("log").Int64Counter("log.lines_omitted", metric.WithDescription("Log lines left out because their message came too often."))
 	return m, err
 }
@@ -52,6 +63,33 @@
 	m.storeCalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("result", result)))
 }
 
+func (m *Metrics) countUsedDetour() { m.usedDetours.Add(context.Background(), 1) }
+
+func (m *Metrics) countServedDetour() { m.servedDetours.Add(context.Background(), 1) }
+
+// registerReachGauges registers gauges of a cut from the servers.
+func registerReachGauges(meter metric.Meter, reach *detour.Tracker) error {
+	_, err := meter.Float64ObservableGauge("detour.cut_seconds", metric.WithDescription("Time since this host is cut off from all servers; 0 if it is not."),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			seconds := 0.0
+			if since, _ := reach.CutSince(); !since.IsZero() {
+				seconds = time.Since(since).Seconds()
+			}
+			o.Observe(seconds)
+			return nil
+		}))
+	if err != nil {
+		return err
+	}
+	_, err = meter.Float64ObservableGauge("detour.servers_failed", metric.WithDescription("Servers that this host could not reach since it last reached one."),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			_, failed := reach.CutSince()
+			o.Observe(float64(failed))
+			return nil
+		}))
+	return err
+}
+
 // CountOmittedLine counts a log line that the rate limit dropped.
 func (m *Metrics) CountOmittedLine() { m.linesOmitted.Add(context.Background(), 1) }
 
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -12,6 +12,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/control"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
+	"github.com/cassiasill/cassiasill/internal/detour"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/entry"
 	"github.com/cassiasill/cassiasill/internal/exchange"
@@ -33,7 +34,7 @@
 	return &controlService{options: options, node: control.NewNode(control.Options{
 		Host: options.Name, Address: options.PeerAddress, DispatchAddress: options.DispatchAddress, Capacity: options.CapacityCores,
 		Seeds: options.Seeds, Store: options.Store, Schema: options.Schema, GrantClient: options.GrantClient,
-		Reports: control.NewReports(), RateLimits: limits, PeerClient: exchange.NewClient(options.Dial), Clock: options.Clock, Log: options.Log,
+		Reports: control.NewReports(), RateLimits: limits, PeerClient: exchange.NewClient(options.Dial), CutOff: options.Reach.IsCut, Clock: options.Clock, Log: options.Log,
 	})}
 }
 
@@ -50,6 +51,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(fleetpbconnect.NewFleetServiceHandler(s.node))
+	mux.Handle(detour.Path, detour.NewServer(s.options.Reach, s.options.Dial, s.isServer, s.options.Metrics.countServedDetour, s.options.Log.Named("detour")))
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ErrorLog: zap.NewStdLog(s.options.Log)}
 	registry.Go(nameControl+" server", func(context.Context) error {
 		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -61,6 +63,20 @@
 	return nil
 }
 
+// isServer reports whether a listed server that is not draining has the address.
+func (s *controlService) isServer(address string) bool {
+	list := s.node.View().Load().Servers
+	if list == nil {
+		return false
+	}
+	for _, server := range list.Servers {
+		if server.Address == address {
+			return !server.Draining
+		}
+	}
+	return false
+}
+
 func (s *controlService) Stop(context.Context) error { return s.server.Close() }
 
 // dispatchService chooses servers for requests: for this host's own, and for those
@@ -118,6 +134,7 @@
 	node     *control.Node
 	servers  *registry.List // the list last passed to limits
 	server   *entry.Server
+	dialer   *detour.Dialer
 	stopping atomic.Bool
 }
 
@@ -139,8 +156,16 @@
 		return err
 	}
 	s.node = controls.Node()
-	pools := entry.NewServerPools(&s.options.HeaderNames, s.options.Dial, local, central, s.metrics.CountConnection)
+	s.dialer = detour.NewDialer(s.options.Reach, s.options.Dial, s.node.DetourPeers, s.options.Metrics.countUsedDetour)
+	pools := entry.NewServerPools(&s.options.HeaderNames, s.dialer.Dial, local, central, s.metrics.CountConnection)
+	s.options.Reach.OnChange(func(cut bool, failed int) {
+		s.logCut(cut, failed)
+		pools.CloseIdleConns()
+	})
 	s.node.View().OnChange(func(snapshot *control.Snapshot) {
+		if snapshot.Servers != nil {
+			s.options.Reach.SetServers(len(snapshot.Servers.Servers))
+		}
 		s.budget.SetHosts(snapshot.HostCount)
 		s.updateRateLimits(snapshot)
 		pools.Update(snapshot)
@@ -148,7 +173,7 @@
 	})
 	handler := entry.NewHandler(entry.Options{AvailabilityZone: s.options.AvailabilityZone, HeaderNames: s.options.HeaderNames,
 		View: s.node.View(), Reports: s.node.Reports, Placer: placer, ServerPools: pools,
-		RetryBudget: s.budget, RateLimits: s.limits, Metrics: s.metrics, Log: s.options.Log})
+		RetryBudget: s.budget, RateLimits: s.limits, Reach: s.options.Reach, Metrics: s.metrics, Log: s.options.Log})
 	s.server = entry.NewServer(handler)
 	listener, err := s.options.Listen(ctx, s.options.CallersAddress)
 	if err != nil {
@@ -164,6 +189,16 @@
 	return nil
 }
 
+// logCut logs the beginning or the end of a cut from the servers.
+func (s *entryService) logCut(cut bool, failed int) {
+	log := s.options.Log.Named("detour")
+	if cut {
+		log.Warn("detour: cut off from all servers, requests go by other hosts", zap.Int("servers_failed", failed), zap.Int("peers", len(s.node.DetourPeers())))
+		return
+	}
+	log.Info("detour: servers are reached again", zap.Int("servers_failed", failed))
+}
+
 // updateRateLimits drops the rate limits of servers that have left or restarted.
 func (s *entryService) updateRateLimits(snapshot *control.Snapshot) {
 	if snapshot.Servers == nil || snapshot.Servers == s.servers {
@@ -183,6 +218,7 @@
 	s.options.Log.Info("entry: stopping")
 	s.stopping.Store(true)
 	s.node.Retire()
+	defer s.dialer.Wait()
 	return s.server.Shutdown(ctx)
 }
 
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -182,10 +182,9 @@
 	}
 }
 
-// Close closes the idle connections; those in use end with their exchange.
-func (p *Pool) Close() {
+// CloseIdleConns closes the idle connections.
+func (p *Pool) CloseIdleConns() {
 	p.mu.Lock()
-	p.closed = true
 	idle := p.idle
 	p.idle = nil
 	p.mu.Unlock()
@@ -194,6 +193,14 @@
 	}
 }
 
+// Close closes the idle connections; those in use end with their exchange.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.CloseIdleConns()
+}
+
 // discard closes the connection. Its error is ignored, since the connection is not
 // used any more.
 func (c *conn) discard() { _ = c.Conn.Close() }
