Stop using servers that say in their responses that they are leaving

No code read the header, so what a server said counted only once its entry said it too, which may come late or never.

The leader marks it as draining for all hosts, whatever its entry says, and moves its keys. A server that is no longer listed when it is chosen is excluded for the rest of the request, which was chosen again before.

Not shown: an answer that passes a peer to another host binds that peer only once the leader has passed the news on (0.5 to 0.75 s).

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -15,6 +15,7 @@
 // followOnce does one step as a follower: it syncs with the leader, or searches
 // for a leader if none is known or reachable.
 func (n *Node) followOnce(ctx context.Context) {
+	n.watchLeaving()
 	n.mu.Lock()
 	leader, unreachable := n.leader, n.unreachableTerm
 	n.mu.Unlock()
@@ -104,6 +105,7 @@
 	}
 	request.Known = n.addVersions(request.Known, n.baseServerList(true))
 	n.Reports.drainInto(request)
+	request.Leaving = n.watchLeaving()
 	request.RateLimits = n.RateLimits.TakeUnreported(newTerm)
 	client := fleetpbconnect.NewFleetServiceClient(n.PeerClient, "http://"+leader.Address)
 	sentAt := n.Clock()
@@ -116,6 +118,7 @@
 		return err
 	}
 	n.applyResponse(response.Msg, sentAt)
+	n.recordLeavingReported(request.Leaving)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if leader.Term >= n.followed.Term {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -208,6 +208,7 @@
 	ownReport := &fleetpb.SyncRequest{}
 	n.Reports.drainInto(ownReport)
 	l.recordReport(ownReport, now)
+	n.markLeaving(n.Reports.takeLeaving())
 	snapshot := n.view.Load()
 	l.mu.Lock()
 	blocked := l.crashes.blockedFingerprints(now)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -135,6 +135,7 @@
 	storeReachedAt      boottime.Instant // last successful call
 	retired             bool
 	relays              []string // addresses, as sent by the leader
+	leaving             []leavingServer
 	detours             []string // addresses of hosts that reach the servers, as sent by the leader
 	largestHostCapacity float64  // capacity of the largest live host; 0 if unknown
 	// successorWanted is true if the leader wants to give way to a larger host.
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -14,6 +14,10 @@
 	loads   map[string]map[uint32]uint32
 	servers map[string]*fleetpb.ServerReport
 	crashes []*fleetpb.Crash
+	// leaving holds the incarnations of servers that have said that they are shutting
+	// down, by ID; it is never emptied. unreported are those not yet taken.
+	leaving    map[string]int64
+	unreported []*fleetpb.LeavingServer
 }
 
 // maxCrashes bounds the number of crash reports that wait for a sync.
@@ -21,7 +25,7 @@
 
 // NewReports returns an empty Reports.
 func NewReports() *Reports {
-	return &Reports{loads: make(map[string]map[uint32]uint32), servers: make(map[string]*fleetpb.ServerReport)}
+	return &Reports{loads: make(map[string]map[uint32]uint32), servers: make(map[string]*fleetpb.ServerReport), leaving: make(map[string]int64)}
 }
 
 // CountKey counts one request for a key position.
@@ -63,6 +67,26 @@
 	}
 }
 
+// ReportLeaving reports that a server process has said that it is shutting down.
+func (r *Reports) ReportLeaving(server string, incarnation int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reported, known := r.leaving[server]; known && reported == incarnation {
+		return
+	}
+	r.leaving[server] = incarnation
+	r.unreported = append(r.unreported, &fleetpb.LeavingServer{Server: server, Born: incarnation})
+}
+
+// takeLeaving returns the servers reported as shutting down since the last call.
+func (r *Reports) takeLeaving() []*fleetpb.LeavingServer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.unreported
+	r.unreported = nil
+	return out
+}
+
 // drainInto moves the collected reports into a sync request. If that sync fails
 // they are lost: loads are estimates, and the next crash under the same request
 // is reported again.
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -30,6 +30,7 @@
 		return connect.NewResponse(&fleetpb.SyncResponse{}), nil
 	}
 	l.recordReport(r.Msg, n.Clock())
+	n.markLeaving(r.Msg.Leaving)
 	n.RateLimits.Merge(r.Msg.RateLimits, r.Msg.Host)
 	wait := min(time.Duration(r.Msg.WaitMillis)*time.Millisecond, syncWait)
 	timer := time.NewTimer(wait)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -163,6 +163,24 @@
 	})
 }
 
+// setDraining marks one incarnation of a server as draining, whatever its entry says.
+// It returns false if the server is not listed or was marked before.
+func (v *View) setDraining(id string, incarnation int64) (changed bool) {
+	v.update(func(next *Snapshot) bool {
+		if next.Servers == nil {
+			return false
+		}
+		s, listed := next.Servers.Servers[id]
+		if !listed || s.Incarnation != incarnation || s.Draining {
+			return false
+		}
+		v.drainingIncarnations[id] = incarnation
+		next.Servers, changed = v.preserveDraining(next.Servers), true
+		return true
+	})
+	return changed
+}
+
 // preserveDraining returns the list with every incarnation that was seen
 // draining marked as draining.
 func (v *View) preserveDraining(list *registry.List) *registry.List {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -237,15 +237,16 @@
 func (h *Handler) attempt(ctx context.Context, q *request, decision dispatch.Decision, ticket placing.AcquiredSlot) exchange.Result {
 	pool, server, ok := h.ServerPools.Pool(decision.Server)
 	if !ok {
-		h.Placer.Release(ticket, dispatch.Result{Outcome: dispatch.Abandoned})
-		q.attempts.unsent++
-		return exchange.Result{Outcome: exchange.NotSent, Err: errors.New("the server is no longer listed")}
+		return h.skipServer(q, decision, ticket, errors.New("the server is no longer listed"))
 	}
 	q.upstream.Deadline, q.upstream.ExpectedInstance = q.deadline, server.ID
 	sentAt := time.Now()
 	result := pool.Do(ctx, &q.upstream)
 	took := time.Since(sentAt)
 	h.observeRateLimit(server, result, took)
+	if result.Leaving {
+		h.Reports.ReportLeaving(server.ID, server.Incarnation)
+	}
 	h.recordAttempt(q, decision, result, took)
 	h.Placer.Release(ticket, h.judgeServer(result))
 	h.Metrics.recordAttempt(result, took)
@@ -257,6 +258,14 @@
 	return result
 }
 
+// skipServer gives back a server that was chosen for the request, without sending.
+func (h *Handler) skipServer(q *request, decision dispatch.Decision, ticket placing.AcquiredSlot, reason error) exchange.Result {
+	h.Placer.Release(ticket, dispatch.Result{Outcome: dispatch.Abandoned})
+	q.attempts.unsent++
+	q.placement.Exclude = append(q.placement.Exclude, decision.Server)
+	return exchange.Result{Outcome: exchange.NotSent, Err: reason}
+}
+
 // observeRateLimit records what the result says about the server's rate limit.
 func (h *Handler) observeRateLimit(server ratelimit.Server, result exchange.Result, took time.Duration) {
 	if result.Outcome != exchange.NotSent {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -39,6 +40,8 @@
 	// RateLimit holds the requests per second that the server accepts from all hosts
 	// together.
 	RateLimit string
+	// Leaving states that the server is shutting down.
+	Leaving string
 }
 
 // Outcome classifies how an exchange ended.
@@ -104,6 +107,8 @@
 	RateLimit    ratelimit.Announcement
 	Rate         float64
 	RateLimitErr error
+	// Leaving is true if the server states that it is shutting down.
+	Leaving bool
 	// Misdirected is true if another server has the address, or the server does
 	// not own the key.
 	Misdirected bool
@@ -309,6 +314,7 @@
 func (p *Pool) classifyResponse(c *conn, r *Request, response *http.Response) Result {
 	result := Result{Outcome: Answered, Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength}
 	result.Load, result.HasLoad = parseLoad(response.Header.Get(p.headers.Load))
+	result.Leaving = p.headers.Leaving != "" && slices.Contains(response.Header.Values(p.headers.Leaving), "1")
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	switch {
 	case success && response.Header.Get(p.headers.RequestID) != r.ID:
