Stay away from servers for as long as they ask

Change: a host keeps, by incarnation, until when each server wants nothing, and sends it no request, whoever places it. Requests without a key go to other servers from the start. If the owner of a key wants nothing, the request is rejected at once, not executed, with the time that is left. Fractions count; zero, negative numbers, dates and words do not; of several values the longest counts; five minutes is the most. A new process has asked for nothing.

Not covered: a 503 that passes a peer to a cut host binds the cut host only, not the peer, which may send its own requests.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -66,6 +66,7 @@
 	splitter    *routes.Splitter
 	splitOffset float64
 	costs       *costEstimator
+	holdOffs    *holdOffs
 	draining    atomic.Bool
 }
 
@@ -75,7 +76,7 @@
 	if options.Reach == nil {
 		options.Reach = detour.NewTracker()
 	}
-	return &Handler{Options: options, splitter: routes.NewSplitter(), splitOffset: rand.Float64(), costs: newCostEstimator()}
+	return &Handler{Options: options, splitter: routes.NewSplitter(), splitOffset: rand.Float64(), costs: newCostEstimator(), holdOffs: newHoldOffs()}
 }
 
 // Drain makes each response close its connection.
@@ -94,6 +95,8 @@
 	attempts         attemptCounts
 	attemptedServers []string
 	expectedWork     time.Duration
+	// heldOff is when the first server that wants no request yet will take one.
+	heldOff time.Duration
 }
 
 // ServeHTTP forwards one request and writes the response.
@@ -190,6 +193,9 @@
 	q.placement = dispatch.Request{Service: q.service, Position: q.position, Priority: route.Priority, Repeatable: route.Kind.Repeatable(),
 		Zone: h.AvailabilityZone, ResponseBytes: responseBytes, Work: work, Salt: rand.Uint64(),
 		Target: h.Placer.At(started.Add(route.Target - waited)), PreviouslyRejected: waited > previouslyRejectedThreshold, Deadline: h.Placer.At(q.deadline.Add(-responseMargin))}
+	if q.position == dispatch.NoPosition {
+		q.placement.Exclude, q.heldOff = h.holdOffs.active(q.service, started, h.ServerPools.isCurrent)
+	}
 	h.RetryBudget.CountRequest(q.service, started)
 	return q, nil
 }
@@ -215,6 +221,9 @@
 		if errors.Is(result.Err, detour.ErrNoPath) {
 			return result, &apierror.Error{Kind: kindIfNotExecuted(q.attempts, apierror.KindNoUpstream), Detail: "cut off from all servers", Err: result.Err, RetryAfter: noPathRetryAfter}
 		}
+		if errors.Is(result.Err, errHeldOff) && q.position != dispatch.NoPosition {
+			return result, &apierror.Error{Kind: kindIfNotExecuted(q.attempts, apierror.KindOverloaded), Detail: "the owner wants no requests yet", Err: result.Err, RetryAfter: max(q.heldOff, 2*responseMargin)}
+		}
 		v := decideAfterAttempt(q.route.Kind, q.route.MaxAttempts, q.attempts, result)
 		if v.action == actionRetry && !h.mayRetry(q, v) {
 			v = h.decideWithoutRetry(q, result)
@@ -239,11 +248,19 @@
 	if !ok {
 		return h.skipServer(q, decision, ticket, errors.New("the server is no longer listed"))
 	}
+	if left := h.holdOffs.left(server, time.Now()); left > 0 {
+		q.heldOff = left
+		return h.skipServer(q, decision, ticket, errHeldOff)
+	}
 	q.upstream.Deadline, q.upstream.ExpectedInstance = q.deadline, server.ID
 	sentAt := time.Now()
 	result := pool.Do(ctx, &q.upstream)
 	took := time.Since(sentAt)
 	h.observeRateLimit(server, result, took)
+	if result.RetryAfter > 0 {
+		h.holdOffs.add(server, time.Now().Add(result.RetryAfter))
+		h.Log.Info("entry: server wants no requests for a time", zap.String("server", server.ID), zap.Duration("retry_after", result.RetryAfter))
+	}
 	if result.Leaving {
 		h.Reports.ReportLeaving(server.ID, server.Incarnation)
 	}
@@ -395,7 +412,7 @@
 	case dispatch.ReasonRateLimited:
 		kind = apierror.KindRateLimited
 	}
-	return &apierror.Error{Kind: kindIfNotExecuted(q.attempts, kind), RetryAfter: decision.RetryAfter,
+	return &apierror.Error{Kind: kindIfNotExecuted(q.attempts, kind), RetryAfter: max(decision.RetryAfter, q.heldOff),
 		Detail: "waited " + decision.QueueTime.Round(time.Millisecond).String()}
 }
 
--- a/internal/entry/serverpools.go
+++ b/internal/entry/serverpools.go
@@ -69,6 +69,14 @@
 	return p.pool, p.server, true
 }
 
+// isCurrent reports whether the process is the latest one of its server.
+func (s *ServerPools) isCurrent(server ratelimit.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pools[server.ID]
+	return p != nil && p.server == server
+}
+
 // Update applies a new snapshot. It is not safe for concurrent use.
 func (s *ServerPools) Update(snapshot *control.Snapshot) {
 	if snapshot.Servers == nil || snapshot.Config == nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -109,6 +109,9 @@
 	RateLimitErr error
 	// Leaving is true if the server states that it is shutting down.
 	Leaving bool
+	// RetryAfter is for how long the server wants no request from this host; 0 if it
+	// does not say.
+	RetryAfter time.Duration
 	// Misdirected is true if another server has the address, or the server does
 	// not own the key.
 	Misdirected bool
@@ -315,6 +318,9 @@
 	result := Result{Outcome: Answered, Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength}
 	result.Load, result.HasLoad = parseLoad(response.Header.Get(p.headers.Load))
 	result.Leaving = p.headers.Leaving != "" && slices.Contains(response.Header.Values(p.headers.Leaving), "1")
+	if response.StatusCode == http.StatusServiceUnavailable {
+		result.RetryAfter = parseRetryAfter(response.Header.Values("Retry-After"))
+	}
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	switch {
 	case success && response.Header.Get(p.headers.RequestID) != r.ID:
@@ -350,6 +356,23 @@
 	return result
 }
 
+// maxRetryAfter bounds for how long a server may ask a host to stay away.
+const maxRetryAfter = 5 * time.Minute
+
+// parseRetryAfter returns the longest valid number of seconds. Dates and numbers that
+// are not positive are ignored.
+func parseRetryAfter(values []string) time.Duration {
+	longest := time.Duration(0)
+	for _, text := range values {
+		seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		if err != nil || !(seconds > 0) {
+			continue
+		}
+		longest = max(longest, time.Duration(min(seconds, maxRetryAfter.Seconds())*float64(time.Second)))
+	}
+	return longest
+}
+
 // parseLoad parses "running,waiting,slots". It returns false if text is malformed.
 func parseLoad(text string) (ServerLoad, bool) {
 	parts := strings.Split(text, ",")
