Reject requests late in a planned stop that may outlast it

Reported by other operators: requests that came late in the grace were taken and passed on, and cut off at its end without an answer, among them requests that may not be repeated. It could happen here: a host accepts callers for 3.2 s after SIGTERM and ends after 5.65 s, and a request of 6 s that came at 3.1 s on a kept connection was passed on.

Change: from 3 s after the stop began, when the load balancer has removed the host, a request whose deadline lies beyond the end of the process is rejected at once, not executed, and its caller may come back to another host at once. Earlier ones are taken as before, since new connections still come. The test fails without it (200 where 503 is expected).

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -39,6 +39,10 @@
 	noConfigRetryAfter = 300 * time.Millisecond
 	// noPathRetryAfter is the Retry-After value while no host reaches the servers.
 	noPathRetryAfter = time.Second
+	// lateDrainPeriod is how long after the begin of a planned stop the load balancer
+	// has removed the host. Requests then come on kept connections only, and their
+	// callers reach another host at once.
+	lateDrainPeriod = 3 * time.Second
 	// minRetryTimeFraction is the least time left for a retry, as a fraction of the
 	// expected work; with less time a retry cannot succeed.
 	minRetryTimeFraction = 0.5
@@ -67,7 +71,7 @@
 	splitOffset float64
 	costs       *costEstimator
 	holdOffs    *holdOffs
-	draining    atomic.Bool
+	drain       atomic.Pointer[drainPeriod]
 }
 
 // NewHandler returns a Handler.
@@ -79,8 +83,19 @@
 	return &Handler{Options: options, splitter: routes.NewSplitter(), splitOffset: rand.Float64(), costs: newCostEstimator(), holdOffs: newHoldOffs()}
 }
 
-// Drain makes each response close its connection.
-func (h *Handler) Drain() { h.draining.Store(true) }
+// drainPeriod is the time from the begin of a planned stop to the end of the process.
+type drainPeriod struct{ since, end time.Time }
+
+// Drain makes each response close its connection. Late in the period, requests that
+// may not finish before its end are rejected.
+func (h *Handler) Drain(since, end time.Time) { h.drain.Store(&drainPeriod{since, end}) }
+
+// mayOutlastDrain reports whether the request came late during a planned stop and
+// may take longer than the process lives.
+func (h *Handler) mayOutlastDrain(q *request) bool {
+	drain := h.drain.Load()
+	return drain != nil && q.started.Sub(drain.since) >= lateDrainPeriod && q.deadline.After(drain.end)
+}
 
 // request is the state of one caller's request.
 type request struct {
@@ -102,7 +117,7 @@
 // ServeHTTP forwards one request and writes the response.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	if h.draining.Load() {
+	if h.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	snapshot := h.View.Load()
@@ -158,6 +173,9 @@
 	if clientDeadline.Before(q.deadline) {
 		q.deadline = clientDeadline
 	}
+	if h.mayOutlastDrain(q) {
+		return q, &apierror.Error{Kind: apierror.KindShuttingDown, Detail: "the request may take longer than the host's stop", RetryAfter: 2 * responseMargin}
+	}
 	if limit := snapshot.Config.Limits.MaxBodyBytes; limit > 0 && r.ContentLength > limit {
 		return q, apierror.New(apierror.KindTooLarge, "the body has %d bytes, at most %d are allowed", r.ContentLength, limit)
 	}
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -33,6 +33,7 @@
 type testHost struct {
 	url        string
 	logs       *observer.ObservedLogs
+	handler    *Handler
 	executions atomic.Int64
 }
 
@@ -73,6 +74,7 @@
 	budget.SetHosts(1)
 	handler := NewHandler(Options{HeaderNames: headerNames, View: control.NewStaticView(snapshot), Reports: control.NewReports(),
 		Placer: placing.NewPlacer("", exchange.Dial, local, central, limits), ServerPools: pools, RetryBudget: budget, RateLimits: limits, Metrics: instruments, Log: zap.New(core)})
+	p.handler = handler
 	frontend := httptest.NewServer(handler)
 	t.Cleanup(frontend.Close)
 	p.url = frontend.URL
@@ -242,3 +244,28 @@
 	assert.Assert(t, time.Since(started) < 200*time.Millisecond)
 	assert.Equal(t, p.executions.Load(), int64(1))
 }
+
+// Guards against requests that are taken late during a planned stop and cut off at
+// its end without a response.
+func TestStoppingHostTakesOnlyWhatItCanFinish(t *testing.T) {
+	now := time.Now()
+	cases := map[string]struct {
+		drainingSince, end time.Time
+		want               int
+	}{
+		"late, may not finish":  {now.Add(-lateDrainPeriod), now, http.StatusServiceUnavailable},
+		"late, can finish":      {now.Add(-lateDrainPeriod), now.Add(time.Hour), http.StatusOK},
+		"early, may not finish": {now.Add(time.Hour), now, http.StatusOK}, // the load balancer still sends requests
+	}
+	for name, c := range cases {
+		for _, path := range []string{"/safe/x", "/unsafe/x"} {
+			p := newTestHost(t, respondOK)
+			p.handler.Drain(c.drainingSince, c.end)
+			status, body, header, err := p.do(t, http.MethodGet, path, "")
+			assert.NilError(t, err)
+			assert.Equal(t, status, c.want, "%s: %s", name, body)
+			assert.Equal(t, header.Get("Retry-After") != "", c.want != http.StatusOK)
+			assert.Equal(t, p.executions.Load() == 0, c.want != http.StatusOK)
+		}
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -93,7 +93,12 @@
 // so that the load balancer removes the host first, then waits for requests in
 // flight until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.handler.Drain()
+	now := time.Now()
+	end, bounded := ctx.Deadline()
+	if !bounded {
+		end = now.Add(defaultIdleTimeout)
+	}
+	s.handler.Drain(now, end)
 	timer := time.NewTimer(drainAcceptPeriod)
 	defer timer.Stop()
 	select {
