--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -4,8 +4,9 @@
 // report what they observe. The leader owns the assignment of key ranges to
 // servers.
 //
-// The state in a View only moves forward: configurations are ordered by store
-// revision, assignments by version, and server lists by the time they were
-// read. A host that gets no recent state from the leader reads the store
+// The state in a View only moves forward: configurations are ordered by the
+// operators' version, then by store revision, assignments by version, and server
+// lists by the time they were read. That holds when the store is restored from an
+// older copy, too: see recovery.go. A host that gets no recent state from the leader reads the store
 // itself.
 package control
