End the grace of an outage once others report that they reached the store

Cause: a host that had been cut off from the store for 4.5 s became leader. Its own failed reads looked like an outage of the store, in which entries lapse without their servers having left, so it kept the missing server for 2.2 s, and revived it at hosts that had read the store meanwhile. That other hosts had reached the store it learns from their first syncs, after its own first read had begun the grace. Ruled out: the configuration and the server's own notice (the other hosts' lists lacked the server before).

Change: such a report also ends a grace that has begun, if what is left of the outage is too short to be one. The test fails without it.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -116,6 +116,8 @@
 	servers      map[string]Server
 	failingSince boottime.Instant // when reads began to fail; 0 if they succeed
 	graceEnd     boottime.Instant
+	// outageFrom and outageTo are the outage that the grace period is for.
+	outageFrom, outageTo boottime.Instant
 	// restoreGraceEnd is until when reads may come from a restored store whose
 	// entries have not been written again.
 	restoreGraceEnd boottime.Instant
@@ -132,6 +134,7 @@
 func (t *Tracker) Observe(servers []Server, began boottime.Instant) bool {
 	if t.failingSince != 0 && began.Sub(t.failingSince) > MinOutage {
 		t.graceEnd = began.Add(PostOutageGrace)
+		t.outageFrom, t.outageTo = t.failingSince, began
 	}
 	t.failingSince = 0
 	changed := false
@@ -160,7 +163,7 @@
 		}
 	}
 	for id := range t.servers {
-		if !seen[id] && !began.Before(t.graceEnd) {
+		if !seen[id] && !began.Before(t.graceEnd) && !restored {
 			t.removed[id] = t.servers[id].Incarnation
 			delete(t.servers, id)
 			changed = true
@@ -197,15 +200,19 @@
 // was restored from an older copy. Servers that started or left since the copy have
 // outdated entries until they write again or their entries expire.
 func (t *Tracker) RecordRestore(at boottime.Instant) {
-	t.graceEnd = max(t.graceEnd, at.Add(PostOutageGrace))
 	t.restoreGraceEnd = at.Add(PostOutageGrace)
 }
 
 // RecordStoreReachable records that another host reached the store at the given
 // instant. Failed reads of this host before it were then no outage of the store, in
 // which entries expire without being renewed: servers whose entries are missing
-// have left.
+// have left. A new leader may learn of it only after its own first read.
 func (t *Tracker) RecordStoreReachable(at boottime.Instant) {
+	if at > t.outageFrom && at < t.outageTo {
+		if t.outageFrom = at; t.outageTo.Sub(at) <= MinOutage {
+			t.graceEnd = 0
+		}
+	}
 	if t.failingSince != 0 && at > t.failingSince {
 		t.failingSince = at
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -56,6 +56,23 @@
 	assert.Equal(t, serverCount(tracker.List()), 0)
 }
 
+// Guards against requests for a server that has left, because a new leader that was
+// cut off from the store takes that for an outage until other hosts report to it
+// (deploy/days/scale-out-during-a-cut.toml on swanpearl-gw, --seed 160434453340).
+func TestGraceEndsOnceOthersReportThatTheyReachedTheStore(t *testing.T) {
+	tracker := NewTracker()
+	tracker.Observe([]Server{{ID: "a"}}, at(0))
+	tracker.RecordReadFailure(at(0.4))
+	tracker.Observe(nil, at(5.4))
+	assert.Equal(t, serverCount(tracker.List()), 1)
+	tracker.RecordStoreReachable(at(3)) // leaves an outage of 2.4 s
+	tracker.Observe(nil, at(5.6))
+	assert.Equal(t, serverCount(tracker.List()), 1)
+	tracker.RecordStoreReachable(at(5))
+	tracker.Observe(nil, at(5.8))
+	assert.Equal(t, serverCount(tracker.List()), 0)
+}
+
 // Guards against treating a gap without reads as an outage.
 func TestNoGraceAfterAGapWithoutReads(t *testing.T) {
 	tracker := NewTracker()
