Stop using leaving servers each second, however long a host looks for a leader

Cause: the host looked for its leader while the store was restored; a step of that takes seconds, and only between steps were leaving servers marked.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -15,7 +15,6 @@
 // followOnce does one step as a follower: it syncs with the leader, or searches
 // for a leader if none is known or reachable.
 func (n *Node) followOnce(ctx context.Context) {
-	n.watchLeaving()
 	n.mu.Lock()
 	leader, unreachable := n.leader, n.unreachableTerm
 	n.mu.Unlock()
--- a/internal/control/leaving.go
+++ b/internal/control/leaving.go
@@ -49,6 +49,11 @@
 	return unreported
 }
 
+// StopUsingLeavingServers stops the use of servers that have told this host that they
+// are shutting down. It is called each second, since a step of a host that looks for
+// a leader may take longer than such a server may still be used.
+func (n *Node) StopUsingLeavingServers() { n.watchLeaving() }
+
 // recordLeavingReported records that a leader has been told of the servers.
 func (n *Node) recordLeavingReported(reported []*fleetpb.LeavingServer) {
 	n.mu.Lock()
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -184,6 +184,7 @@
 		now := time.Now()
 		pools.CloseExpiredConns(now)
 		s.server.CloseExpiredConns(now)
+		s.node.StopUsingLeavingServers()
 	})
 	admin.SetReady(s.ready)
 	return nil
