Stay away from a server that is not listed for a moment

Cause: while its entry was missing, after a restore of the store, the hosts took it for replaced and forgot its wish. Change: only another process of the server ends it. TestHoldOffOutlivesAMissingEntry fails without the change.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -212,7 +212,7 @@
 		Zone: h.AvailabilityZone, ResponseBytes: responseBytes, Work: work, Salt: rand.Uint64(),
 		Target: h.Placer.At(started.Add(route.Target - waited)), PreviouslyRejected: waited > previouslyRejectedThreshold, Deadline: h.Placer.At(q.deadline.Add(-responseMargin))}
 	if q.position == dispatch.NoPosition {
-		q.placement.Exclude, q.heldOff = h.holdOffs.active(q.service, started, h.ServerPools.isCurrent)
+		q.placement.Exclude, q.heldOff = h.holdOffs.active(q.service, started, h.ServerPools.isReplaced)
 	}
 	h.RetryBudget.CountRequest(q.service, started)
 	return q, nil
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -269,3 +269,33 @@
 		}
 	}
 }
+
+// Guards against requests for a server that wants none, because it was not listed for
+// a moment.
+func TestHoldOffOutlivesAMissingEntry(t *testing.T) {
+	holdOffs, now := newHoldOffs(), time.Now()
+	server := ratelimit.Server{ID: "a", Service: "svc", Incarnation: 1}
+	pools := NewServerPools(&headerNames, exchange.Dial, dispatch.NewDispatcher(), dispatch.NewDispatcher(), nil)
+	holdOffs.add(server, now.Add(3*time.Second))
+	ids, first := holdOffs.active("svc", now.Add(time.Second), pools.isReplaced)
+	assert.Equal(t, len(ids), 1)
+	assert.Equal(t, first, 2*time.Second)
+	pools.updatePools(registry.NewList(map[string]registry.Server{"a": {ID: "a", Service: "svc", Address: "x", Incarnation: 1}}))
+	ids, _ = holdOffs.active("svc", now.Add(time.Second), pools.isReplaced)
+	assert.Equal(t, len(ids), 1)
+	assert.Equal(t, holdOffs.left(server, now.Add(time.Second)), 2*time.Second)
+	pools.updatePools(registry.NewList(map[string]registry.Server{"a": {ID: "a", Service: "svc", Address: "x", Incarnation: 2}}))
+	ids, _ = holdOffs.active("svc", now.Add(time.Second), pools.isReplaced)
+	assert.Equal(t, len(ids), 0)
+}
+
+// Guards against a shorter wish that replaces a longer one, and wishes that are no
+// number of seconds.
+func TestHoldOffsKeepTheLongestWish(t *testing.T) {
+	holdOffs, now := newHoldOffs(), time.Now()
+	server := ratelimit.Server{ID: "a", Service: "svc", Incarnation: 1}
+	holdOffs.add(server, now.Add(3*time.Second))
+	holdOffs.add(server, now.Add(time.Second))
+	assert.Equal(t, holdOffs.left(server, now), 3*time.Second)
+	assert.Equal(t, holdOffs.left(server, now.Add(3*time.Second)), time.Duration(0))
+}
--- a/internal/entry/holdoff.go
+++ b/internal/entry/holdoff.go
@@ -57,14 +57,15 @@
 }
 
 // active returns servers of the service that want no request, and when the first of
-// them takes requests again. A process that isCurrent denies wants nothing any more.
-func (h *holdOffs) active(service string, now time.Time, isCurrent func(ratelimit.Server) bool) (ids []string, first time.Duration) {
+// them takes requests again. A process that was replaced wants nothing any more; one
+// that is not listed for a while still does.
+func (h *holdOffs) active(service string, now time.Time, isReplaced func(ratelimit.Server) bool) (ids []string, first time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for id, entry := range h.servers {
 		left := entry.until.Sub(now)
 		switch {
-		case left <= 0, !isCurrent(entry.server):
+		case left <= 0, isReplaced(entry.server):
 			delete(h.servers, id)
 		case entry.server.Service == service:
 			if first == 0 || left < first {
--- a/internal/entry/serverpools.go
+++ b/internal/entry/serverpools.go
@@ -69,12 +69,12 @@
 	return p.pool, p.server, true
 }
 
-// isCurrent reports whether the process is the latest one of its server.
-func (s *ServerPools) isCurrent(server ratelimit.Server) bool {
+// isReplaced reports whether another process of the server is listed.
+func (s *ServerPools) isReplaced(server ratelimit.Server) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pools[server.ID]
-	return p != nil && p.server == server
+	return p != nil && p.server != server
 }
 
 // Update applies a new snapshot. It is not safe for concurrent use.
