Tell callers to stay away for one server's wish only if there is no other

Found while reading the diff: a request that was rejected because the other servers were busy got the time for which one server wants no requests, up to five minutes. The test fails without the change (1 min instead of 1 s).

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -430,7 +430,11 @@
 	case dispatch.ReasonRateLimited:
 		kind = apierror.KindRateLimited
 	}
-	return &apierror.Error{Kind: kindIfNotExecuted(q.attempts, kind), RetryAfter: max(decision.RetryAfter, q.heldOff),
+	retryAfter := decision.RetryAfter
+	if decision.Reason == dispatch.ReasonNoServer {
+		retryAfter = max(retryAfter, q.heldOff)
+	}
+	return &apierror.Error{Kind: kindIfNotExecuted(q.attempts, kind), RetryAfter: retryAfter,
 		Detail: "waited " + decision.QueueTime.Round(time.Millisecond).String()}
 }
 
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -299,3 +299,13 @@
 	assert.Equal(t, holdOffs.left(server, now), 3*time.Second)
 	assert.Equal(t, holdOffs.left(server, now.Add(3*time.Second)), time.Duration(0))
 }
+
+// Guards against callers who are told to stay away for as long as one server wants
+// no requests, although the others are only busy.
+func TestOneServersWishDoesNotDelayCallersOfOthers(t *testing.T) {
+	h, q := newTestHost(t, respondOK).handler, &request{heldOff: time.Minute}
+	busy := h.placementError(q, dispatch.Decision{Reason: dispatch.ReasonOverload, RetryAfter: time.Second})
+	assert.Equal(t, busy.RetryAfter, time.Second)
+	none := h.placementError(q, dispatch.Decision{Reason: dispatch.ReasonNoServer})
+	assert.Equal(t, none.RetryAfter, time.Minute)
+}
