Take what a leader knows for complete only if it reaches other hosts

Found while reading the diff: a host that led, was cut off while another led, and is elected again after a restore before it reaches any host took its own memory for all there is. The new case fails without the change (positions of s1 given to s3). Change: without an answer from any other host, every server first releases what it does not own.

--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -114,7 +114,9 @@
 		})
 	}
 	group.Wait()
-	r.complete = r.ledTerm > 0 && r.ledTerm >= r.followedTerm
+	// A host that reaches no other can't know whether another led after it.
+	reachesHosts := responses > 0 || len(addresses) == 0
+	r.complete = r.ledTerm > 0 && r.ledTerm >= r.followedTerm && reachesHosts
 	n.Log.Info("control: state of the lost era collected from hosts", zap.Int64("term", l.term), zap.Int64("era", int64(l.era())),
 		zap.Int("asked", len(addresses)), zap.Int("answered", responses), zap.Bool("complete", r.complete))
 	if !r.complete {
--- a/internal/control/restore_test.go
+++ b/internal/control/restore_test.go
@@ -225,6 +225,22 @@
 			c.startHost("h9")
 			c.restoreStore(c.emptyCopy, time.Second)
 		}},
+		{name: "former leader is elected again and reaches no host", restore: func(c *cluster, old *memory.Copy) {
+			l := c.leader()
+			c.store.Partition(l.name)
+			c.setIsolated(l, true)
+			time.Sleep(16 * time.Second) // another host leads, and the former one has stopped
+			c.cutServer("s3", true)
+			time.Sleep(7 * time.Second)
+			c.cutServer("s3", false)
+			time.Sleep(time.Second)
+			c.store.StartOutage()
+			c.setFollowersCut(l, true)
+			c.store.Heal(l.name)
+			c.restoreStore(old, 200*time.Millisecond)
+			time.Sleep(8 * time.Second)
+			c.setFollowersCut(l, false)
+		}},
 		{name: "calls of the old era arrive late", restore: func(c *cluster, old *memory.Copy) {
 			c.mu.Lock()
 			c.delayedCallRate = 0.3
