Log and count where requests are when their callers leave

A canceled request left one series in the metrics and a line about its attempt; neither told where the request was when its caller left, how long the server worked on, or whether the request was sent after the departure.

Nothing is decided by these yet.

--- /dev/null
+++ b/internal/entry/departure.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// stage is how far a request has come. It tells where requests were when their
+// callers left.
+type stage string
+
+// The stages in the order in which a request passes them. A retry goes back to
+// stageRetrying.
+const (
+	stageReading       stage = "reading"        // its body is being read
+	stageWaiting       stage = "waiting"        // for a dispatcher of this process to choose a server
+	stageWaitingRemote stage = "waiting-remote" // for a dispatcher on another host
+	stageChosen        stage = "chosen"         // a server is chosen, and nothing is sent to it
+	stageConnecting    stage = "connecting"     // a connection to the server is being opened
+	stageSent          stage = "sent"           // the server has the request and has not responded
+	stageRetrying      stage = "retrying"       // between two attempts
+	stageResponding    stage = "responding"     // the response is being written
+)
+
+// occupiesServer reports whether a server may be working on a request in the stage.
+func (s stage) occupiesServer() bool { return s == stageSent || s == stageResponding }
+
+// endDeparted ends a request whose caller has left: it logs and counts where the
+// request was, and closes the caller's connection.
+func (h *Handler) endDeparted(q *request) {
+	now := time.Now()
+	unseen := max(now.Sub(q.caller.lastSeen()), 0)
+	h.Metrics.recordResult(q.route, "canceled", now.Sub(q.started))
+	h.Metrics.recordDeparture(q.stage, unseen)
+	server := ""
+	if n := len(q.attemptedServers); n > 0 && q.stage.occupiesServer() {
+		server = q.attemptedServers[n-1]
+	}
+	h.Log.Info("entry: caller left", zap.String("request", q.id), zap.String("stage", string(q.stage)), zap.String("service", q.service),
+		zap.Duration("after", now.Sub(q.started)), zap.Duration("last_seen", unseen), zap.String("server", server), zap.Int("attempts", len(q.attemptedServers)))
+	panic(http.ErrAbortHandler)
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -110,6 +110,8 @@
 	attempts         attemptCounts
 	attemptedServers []string
 	expectedWork     time.Duration
+	caller           *caller
+	stage            stage
 	// heldOff is when the first server that wants no request yet will take one.
 	heldOff time.Duration
 }
@@ -136,11 +138,11 @@
 		return
 	}
 	h.Metrics.countRequest(route)
+	defer q.caller.startChecks()()
 	result, failure := h.forward(r.Context(), snapshot, q)
 	switch {
 	case failure != nil && failure.Kind == apierror.KindCanceled:
-		h.Metrics.recordResult(route, "canceled", time.Since(started))
-		panic(http.ErrAbortHandler)
+		h.endDeparted(q)
 	case failure != nil:
 		h.writeError(w, q, r, failure)
 	default:
@@ -160,7 +162,8 @@
 // newRequest reads the caller's request and sets its deadline, service, key
 // position and placement. On a failure it still returns the request, for the log.
 func (h *Handler) newRequest(r *http.Request, snapshot *control.Snapshot, route *routes.Route, started time.Time) (*request, *apierror.Error) {
-	q := &request{id: r.Header.Get(h.HeaderNames.RequestID), started: started, route: route, position: dispatch.NoPosition}
+	q := &request{id: r.Header.Get(h.HeaderNames.RequestID), started: started, route: route, position: dispatch.NoPosition,
+		caller: newCaller(r.Context(), started), stage: stageReading}
 	q.deadline = started.Add(route.Timeout)
 	clientDeadline := q.deadline
 	if text := r.Header.Get(h.HeaderNames.DeadlineMillis); text != "" {
@@ -227,6 +230,7 @@
 // forward sends the request to servers until one responds or no retry is allowed.
 func (h *Handler) forward(ctx context.Context, snapshot *control.Snapshot, q *request) (exchange.Result, *apierror.Error) {
 	for {
+		q.stage = h.waitingStage(q.service)
 		decision, ticket := h.Placer.Acquire(ctx, q.placement)
 		if ctx.Err() != nil && decision.Server == "" {
 			return exchange.Result{}, apierror.New(apierror.KindCanceled, "the caller left while the request waited")
@@ -234,6 +238,7 @@
 		if decision.Server == "" {
 			return exchange.Result{}, h.placementError(q, decision)
 		}
+		q.stage = stageChosen
 		h.RateLimits.CountAllowed(decision.Server)
 		result := h.attempt(ctx, q, decision, ticket)
 		if errors.Is(result.Err, detour.ErrNoPath) {
@@ -260,6 +265,14 @@
 	}
 }
 
+// waitingStage returns the stage of a request that waits for a server of the service.
+func (h *Handler) waitingStage(service string) stage {
+	if h.Placer.DispatchesRemotely(service) {
+		return stageWaitingRemote
+	}
+	return stageWaiting
+}
+
 // attempt sends the request to one server.
 func (h *Handler) attempt(ctx context.Context, q *request, decision dispatch.Decision, ticket placing.AcquiredSlot) exchange.Result {
 	pool, server, ok := h.ServerPools.Pool(decision.Server)
@@ -271,9 +284,16 @@
 		return h.skipServer(q, decision, ticket, errHeldOff)
 	}
 	q.upstream.Deadline, q.upstream.ExpectedInstance = q.deadline, server.ID
+	hasLeft := q.caller.hasLeft()
 	sentAt := time.Now()
 	result := pool.Do(ctx, &q.upstream)
 	took := time.Since(sentAt)
+	if q.stage = stageConnecting; result.Sent {
+		q.stage = stageSent
+	}
+	if result.Sent && (hasLeft || result.SentLate) {
+		h.Metrics.countLateSend()
+	}
 	h.observeRateLimit(server, result, took)
 	if result.RetryAfter > 0 {
 		h.holdOffs.add(server, time.Now().Add(result.RetryAfter))
@@ -285,7 +305,7 @@
 	h.recordAttempt(q, decision, result, took)
 	h.Placer.Release(ticket, h.judgeServer(result))
 	h.Metrics.recordAttempt(result, took)
-	if result.Outcome != exchange.Answered || result.Status >= http.StatusInternalServerError {
+	if result.Outcome != exchange.Canceled && (result.Outcome != exchange.Answered || result.Status >= http.StatusInternalServerError) {
 		h.Log.Info("entry: try ended without success", zap.String("request", q.id), zap.String("route", q.route.Name),
 			zap.String("server", decision.Server), zap.Stringer("outcome", result.Outcome), zap.Int("status", result.Status),
 			zap.Duration("waited", decision.QueueTime), zap.Duration("took", took), zap.Int64("config", h.configVersion()), zap.Error(result.Err))
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -23,6 +23,9 @@
 	attemptLatency    metric.Float64Histogram
 	connectionsOpened metric.Int64Counter
 	invalidRateLimits metric.Int64Counter
+	departures        metric.Int64Counter
+	lateSends         metric.Int64Counter
+	departureLag      metric.Float64Histogram
 }
 
 // NewMetrics creates the instruments.
@@ -50,9 +53,23 @@
 	m.attemptLatency = histogram("entry.try_latency", "Time from sending to the end of a try.")
 	m.connectionsOpened = counter("entry.connections_opened", "Connections opened to servers.")
 	m.invalidRateLimits = counter("ratelimit.invalid", "Responses with an invalid rate limit, which was ignored.")
+	m.departures = counter("entry.departures", "Requests whose callers left, by the stage in which they were.")
+	m.lateSends = counter("entry.late_sends", "Requests sent to a server although their callers had left.")
+	m.departureLag = histogram("entry.departure_lag", "Longest possible time from the end of a caller's connection to that of its request at the server.")
 	return m, err
 }
 
+// recordDeparture counts a caller that left. Unseen is the time since it was last
+// known to be there, which bounds how long a server has worked on.
+func (m *Metrics) recordDeparture(s stage, unseen time.Duration) {
+	m.departures.Add(context.Background(), 1, metric.WithAttributes(attribute.String("stage", string(s))))
+	if s.occupiesServer() {
+		m.departureLag.Record(context.Background(), unseen.Seconds())
+	}
+}
+
+func (m *Metrics) countLateSend() { m.lateSends.Add(context.Background(), 1) }
+
 func (m *Metrics) countRequest(route *routes.Route) {
 	m.requests.Add(context.Background(), 1, metric.WithAttributes(routeAttribute(route)))
 }
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -29,7 +29,12 @@
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	w.WriteHeader(result.Status)
+	q.stage = stageResponding
 	if err := h.copyBody(w, result); err != nil {
+		if q.caller.hasLeft() {
+			h.resetConnection(w)
+			h.endDeparted(q)
+		}
 		h.Log.Info("entry: response aborted", zap.String("request", q.id), zap.Error(err))
 		h.Metrics.recordResult(q.route, "broken-off", time.Since(q.started))
 		h.resetConnection(w)
@@ -84,11 +89,14 @@
 	return 0
 }
 
-// writeError responds with an error that this host raised. For a canceled
-// request it aborts the connection instead. q is nil if no route was found
+// writeError responds with an error that this host raised. It aborts the
+// connection instead if the caller has left. q is nil if no route was found
 // or the host has no configuration or server list yet.
 func (h *Handler) writeError(w http.ResponseWriter, q *request, r *http.Request, failure *apierror.Error) {
 	response := failure.Response()
+	if q != nil && failure.Kind == apierror.KindCanceled {
+		h.endDeparted(q)
+	}
 	if q == nil {
 		q = &request{id: r.Header.Get(h.HeaderNames.RequestID), started: time.Now()}
 	}
@@ -97,9 +105,6 @@
 		zap.Int("status", response.Status), zap.Duration("after", time.Since(q.started)), zap.String("detail", failure.Detail),
 		zap.Duration("retry_after", response.RetryAfter), zap.String("service", q.service), zap.Int("position", q.position),
 		zap.Int64("config", h.configVersion()), zap.Strings("servers", q.attemptedServers), zap.Error(failure.Err))
-	if failure.Kind == apierror.KindCanceled {
-		panic(http.ErrAbortHandler)
-	}
 	header := w.Header()
 	if q.id != "" {
 		header.Set(h.HeaderNames.RequestID, q.id)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -115,8 +115,10 @@
 	// Misdirected is true if another server has the address, or the server does
 	// not own the key.
 	Misdirected bool
-	// Connected is false if no connection could be opened.
-	Connected bool
+	// Sent is true if any byte of the request was written.
+	Sent bool
+	// SentLate is true if the request was written although its context had ended.
+	SentLate bool
 	Err       error
 }
 
@@ -131,9 +133,7 @@
 	if err != nil {
 		return Result{Outcome: canceledOr(ctx, NotSent), Err: err}
 	}
-	result := p.roundTrip(ctx, c, r)
-	result.Connected = true
-	return result
+	return p.roundTrip(ctx, c, r)
 }
 
 // roundTrip sends the request on a connection and reads the response.
@@ -152,7 +152,9 @@
 		c.discard()
 		return Result{Outcome: canceledOr(ctx, NotSent), Err: err}
 	}
+	sentLate := ctx.Err() != nil
 	result := p.readResponse(c, r)
+	result.Sent, result.SentLate = true, sentLate
 	if result.Outcome != Answered && result.Outcome != Refused {
 		c.discard()
 		result.Outcome = failureOutcome(ctx, result.Err)
--- a/internal/placing/placer.go
+++ b/internal/placing/placer.go
@@ -80,6 +80,15 @@
 	}
 }
 
+// DispatchesRemotely reports whether another host dispatches the requests of the
+// service.
+func (p *Placer) DispatchesRemotely(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	address := p.dispatcherAddresses[service]
+	return address != "" && address != p.selfAddress
+}
+
 // At converts a time to an Instant for targets and deadlines.
 func (p *Placer) At(t time.Time) dispatch.Instant { return p.local.At(t) }
 
