--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -41,6 +42,24 @@
 // the given servers.
 func newTestHost(t *testing.T, servers ...http.HandlerFunc) *testHost {
 	t.Helper()
+	return newTestHostWith(t, testHostOptions{}, servers...)
+}
+
+// testHostOptions configure a testHost; zero values stand for defaults.
+type testHostOptions struct {
+	timeout      time.Duration // of both routes
+	maxBodyBytes int64         // of requests
+	dial         exchange.DialFunc
+}
+
+// newTestHostWith is newTestHost with options.
+func newTestHostWith(t *testing.T, options testHostOptions, servers ...http.HandlerFunc) *testHost {
+	t.Helper()
+	options.timeout = cmp.Or(options.timeout, 400*time.Millisecond)
+	options.maxBodyBytes = cmp.Or(options.maxBodyBytes, 1000)
+	if options.dial == nil {
+		options.dial = exchange.Dial
+	}
 	p := &testHost{}
 	list := &registry.List{Servers: make(map[string]registry.Server)}
 	for i, handler := range servers {
@@ -49,19 +68,22 @@
 			w.Header().Set("X-Id", r.Header.Get("X-Id"))
 			handler(w, r)
 		}))
-		t.Cleanup(upstream.Close)
+		t.Cleanup(func() {
+			upstream.CloseClientConnections() // a failed test may leave requests in progress
+			upstream.Close()
+		})
 		id := "s" + strconv.Itoa(i)
 		list.Servers[id] = registry.Server{ID: id, Service: "svc", Address: strings.TrimPrefix(upstream.URL, "http://"), Slots: 2}
 	}
 	route := func(name string, kind routes.RequestKind) routes.Route {
-		return routes.Route{Name: name, Prefix: "/" + name + "/", Kind: kind, Timeout: 400 * time.Millisecond, Target: 200 * time.Millisecond,
+		return routes.Route{Name: name, Prefix: "/" + name + "/", Kind: kind, Timeout: options.timeout, Target: options.timeout / 2,
 			MaxAttempts: 2, Backends: []routes.Backend{{Service: "svc", Weight: 1}}}
 	}
-	config := routes.NewConfig(7, 1, []routes.Service{{Name: "svc"}}, routes.Limits{MaxBodyBytes: 1000},
+	config := routes.NewConfig(7, 1, []routes.Service{{Name: "svc"}}, routes.Limits{MaxBodyBytes: options.maxBodyBytes},
 		map[string][]routes.Route{"a.example": {route("safe", routes.Safe), route("unsafe", routes.Unsafe)}})
 	snapshot := control.Snapshot{Config: config, Servers: list, HostCount: 1}
 	local, central := dispatch.NewDispatcher(), dispatch.NewDispatcher()
-	pools := NewServerPools(&headerNames, exchange.Dial, local, central, nil)
+	pools := NewServerPools(&headerNames, options.dial, local, central, nil)
 	pools.Update(&snapshot)
 	metrics, err := telemetry.NewMetrics()
 	assert.NilError(t, err)
@@ -75,7 +97,9 @@
 	handler := NewHandler(Options{HeaderNames: headerNames, View: control.NewStaticView(snapshot), Reports: control.NewReports(),
 		Placer: placing.NewPlacer("", exchange.Dial, local, central, limits), ServerPools: pools, RetryBudget: budget, RateLimits: limits, Metrics: instruments, Log: zap.New(core)})
 	p.handler = handler
-	frontend := httptest.NewServer(handler)
+	frontend := httptest.NewUnstartedServer(handler)
+	frontend.Config.ConnContext = contextWithConn
+	frontend.Start()
 	t.Cleanup(frontend.Close)
 	p.url = frontend.URL
 	return p
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -119,7 +119,7 @@
 	Sent bool
 	// SentLate is true if the request was written although its context had ended.
 	SentLate bool
-	Err       error
+	Err      error
 }
 
 // maxStaleResponses bounds the responses that are read in search of the one to the
