Close a server's connection as soon as the request's context ends

What callers saw: nothing; servers worked on for callers that had left, up to the deadline.

Cause: the exchange stopped watching the context once a large response was handed over for streaming, did not notice a request body that broke off while it waited for the response, and wrote a request whose context had already ended. A canceled exchange ended by way of an expired deadline, so the connection closed only when the waiting goroutine had its turn.

Change: a canceled context closes the connection itself, until a streamed response is closed; a body that can't be read closes it too and counts as canceled, not as the server's failure; nothing is written after the end, and a connection without a written byte goes back to the pool.

Why it works: the close needs no goroutine but the one that the context starts. FIN is kept rather than a reset, which would not be sent again if a lossy link drops it.

--- a/internal/exchange/bounded.go
+++ b/internal/exchange/bounded.go
@@ -36,6 +36,7 @@
 type streamedBody struct {
 	body io.Reader
 	conn *conn
+	stop func() bool // ends the watch of the request's context
 }
 
 // Read reads the next part of the response.
@@ -45,6 +46,7 @@
 // responses are rare, and checking that no extra bytes follow one costs more than
 // a new connection.
 func (s *streamedBody) Close() error {
+	s.stop()
 	s.conn.discard()
 	return nil
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
@@ -83,6 +84,9 @@
 	ContentLength    int64     // of the complete body; negative if unknown
 	Deadline         time.Time
 	ExpectedInstance string // ID of the server instance that may run the request
+	// Unwanted, if not nil, is called right before the request is written. If it
+	// returns true, nothing is written and the exchange ends as canceled.
+	Unwanted func() bool
 	// FreshConnOnly avoids connections that have been idle for long: if the server
 	// closes one at that moment, a request that must not be retried is lost.
 	FreshConnOnly bool
@@ -129,6 +133,9 @@
 
 // Do sends the request to the server at the pool's address.
 func (p *Pool) Do(ctx context.Context, r *Request) Result {
+	if err := ctx.Err(); err != nil {
+		return Result{Outcome: Canceled, Err: err}
+	}
 	c, err := p.acquire(ctx, r)
 	if err != nil {
 		return Result{Outcome: canceledOr(ctx, NotSent), Err: err}
@@ -142,10 +149,27 @@
 		c.discard()
 		return Result{Outcome: NotSent, Err: err}
 	}
-	// A canceled context expires the connection's deadline, which ends the
-	// exchange.
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
+	// A canceled context closes the connection, which ends the exchange here and the
+	// work at the server without waiting for this goroutine.
+	stop := context.AfterFunc(ctx, c.discard)
+	if r.Unwanted != nil && r.Unwanted() {
+		if stop() && c.SetDeadline(time.Time{}) == nil {
+			p.putBack(c)
+		} else {
+			c.discard()
+		}
+		return Result{Outcome: Canceled, Err: context.Canceled}
+	}
+	result := p.exchange(ctx, c, r, stop)
+	if result.RemainingBody == nil {
+		stop()
+	}
+	return result
+}
+
+// exchange writes the request and reads the response. Stop ends the watch of ctx; if
+// the response is streamed, it must be called at the end of it.
+func (p *Pool) exchange(ctx context.Context, c *conn, r *Request, stop func() bool) Result {
 	sent := make(chan error, 1)
 	written, err := p.writeRequest(c, r, sent)
 	if err != nil && written == 0 {
@@ -157,7 +181,9 @@
 	result.Sent, result.SentLate = true, sentLate
 	if result.Outcome != Answered && result.Outcome != Refused {
 		c.discard()
-		result.Outcome = failureOutcome(ctx, result.Err)
+		if result.Outcome = failureOutcome(ctx, result.Err); c.bodyBroken.Load() {
+			result.Outcome = Canceled
+		}
 		return result
 	}
 	complete := true
@@ -170,6 +196,7 @@
 		complete = false
 	}
 	if result.RemainingBody != nil {
+		result.RemainingBody.(*streamedBody).stop = stop
 		return result
 	}
 	// An idle connection has no deadline: once one passes, the connection looks
@@ -227,11 +254,13 @@
 	return n, nil
 }
 
-// writeBody writes a large body, in chunks if its length is unknown.
+// writeBody writes a large body, in chunks if its length is unknown. If the caller's
+// part of it can't be read, the connection is closed: the server would wait for the
+// rest, and a response could only be to an incomplete request.
 func writeBody(c *conn, r *Request) error {
 	var body io.Reader = strings.NewReader(string(r.Body))
 	if r.RemainingBody != nil {
-		body = io.MultiReader(body, r.RemainingBody)
+		body = io.MultiReader(body, &callerBody{r.RemainingBody, c})
 	}
 	if r.ContentLength >= 0 {
 		_, err := io.Copy(c.Conn, io.LimitReader(body, r.ContentLength))
@@ -255,6 +284,23 @@
 	}
 }
 
+// callerBody reads a body from the caller and closes the server's connection if the
+// body breaks off.
+type callerBody struct {
+	body io.Reader
+	conn *conn
+}
+
+// Read reads the next part of the body.
+func (b *callerBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if err != nil && err != io.EOF {
+		b.conn.bodyBroken.Store(true)
+		b.conn.discard()
+	}
+	return n, err
+}
+
 // requestHead returns the request line and the header.
 func (p *Pool) requestHead(r *Request) []byte {
 	var b strings.Builder
@@ -399,6 +445,7 @@
 	bounded           *boundedReader
 	reader            *bufio.Reader // reads from bounded
 	hasCarriedRequest bool
+	bodyBroken        atomic.Bool // the body of the current request could not be read to its end
 	refusedIDs        []string // requests that the server refused on this connection
 	idleSince         time.Time
 	idleTimeout       time.Duration
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -125,7 +125,7 @@
 	}
 	p.onConnectionOpened()
 	bounded := &boundedReader{reader: raw}
-	return &conn{Conn: raw, pool: p, bounded: bounded, reader: bufio.NewReaderSize(bounded, 4096), idleTimeout: defaultIdleTimeout}, nil
+	return &conn{Conn: raw, pool: p, bounded: bounded, reader: bufio.NewReaderSize(bounded, 4096), idleSince: now, idleTimeout: defaultIdleTimeout}, nil
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil.
@@ -152,6 +152,12 @@
 // release returns a connection to the pool after use.
 func (p *Pool) release(c *conn) {
 	c.idleSince = time.Now()
+	p.putBack(c)
+}
+
+// putBack returns a connection on which nothing was written to the pool as the most
+// recently used one. At the server it has been idle since before.
+func (p *Pool) putBack(c *conn) {
 	p.mu.Lock()
 	if !p.closed {
 		p.idle = append(p.idle, c)
