Watch callers until their requests end and send nothing for those who left

What callers saw: nothing; servers got requests, and worked on until the deadline, for callers that had left.

Cause: the host learned of a departure only from the HTTP server, which reads one byte at most while a handler runs, nothing while a body is unread, and needs its turn on a busy host. The caller was looked at only if no server was given, so a decision that came with the departure won, and a retry followed.

Change: the connection is examined with poll(2) before the request is handled, right before it is sent, before a retry uses the budget, and each 250 ms while it is in progress. POLLRDHUP shows the end also behind unread bytes. A write to a caller that left and does not read ends too.

Why it works: nothing lies between the last look and the write, and what the HTTP server does not see is seen within 250 ms.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -27,7 +27,8 @@
 
 // caller is the client that waits for the response to one request.
 type caller struct {
-	ctx    context.Context
+	ctx    context.Context // ends when the caller leaves
+	cancel context.CancelFunc
 	conn   syscall.RawConn // nil if the connection can't be examined
 	since  time.Time
 	seenAt atomic.Int64 // last time when it was known to be there, in ns after since
@@ -36,9 +37,11 @@
 	timer *time.Timer // nil unless checks are scheduled
 }
 
-// newCaller returns the caller of the request with the given context.
+// newCaller returns the caller of the request with the given context. Its cancel
+// function must be called when the request has ended.
 func newCaller(ctx context.Context, now time.Time) *caller {
-	c := &caller{ctx: ctx, since: now}
+	c := &caller{since: now}
+	c.ctx, c.cancel = context.WithCancel(ctx)
 	if sc, ok := ctx.Value(connContextKey{}).(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			c.conn = raw
@@ -47,14 +50,16 @@
 	return c
 }
 
-// hasLeft examines the connection and reports whether the caller has closed it. The
-// end of a connection shows even if unread bytes precede it. A caller that closes
-// only its sending direction counts as one that has left, as for the HTTP server.
+// hasLeft examines the connection and reports whether the caller has closed it; if so,
+// it ends the caller's context. The end of a connection shows even if unread bytes
+// precede it. A caller that closes only its sending direction counts as one that has
+// left, as for the HTTP server.
 func (c *caller) hasLeft() bool {
 	if c.ctx.Err() != nil {
 		return true
 	}
 	if c.conn != nil && isConnClosed(c.conn) {
+		c.cancel()
 		return true
 	}
 	c.seenAt.Store(int64(time.Since(c.since)))
--- a/internal/entry/departure.go
+++ b/internal/entry/departure.go
@@ -17,8 +17,7 @@
 	stageReading       stage = "reading"        // its body is being read
 	stageWaiting       stage = "waiting"        // for a dispatcher of this process to choose a server
 	stageWaitingRemote stage = "waiting-remote" // for a dispatcher on another host
-	stageChosen        stage = "chosen"         // a server is chosen, and nothing is sent to it
-	stageConnecting    stage = "connecting"     // a connection to the server is being opened
+	stageConnecting    stage = "connecting"     // a server is chosen, and nothing is sent to it yet
 	stageSent          stage = "sent"           // the server has the request and has not responded
 	stageRetrying      stage = "retrying"       // between two attempts
 	stageResponding    stage = "responding"     // the response is being written
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -132,14 +132,16 @@
 		h.writeError(w, nil, r, apierror.New(apierror.KindNotFound, "no route for host %s", r.Host))
 		return
 	}
-	q, failure := h.newRequest(r, snapshot, route, started)
+	c := newCaller(r.Context(), started)
+	defer c.cancel()
+	q, failure := h.newRequest(r, snapshot, route, c)
 	if failure != nil {
 		h.writeError(w, q, r, failure)
 		return
 	}
 	h.Metrics.countRequest(route)
-	defer q.caller.startChecks()()
-	result, failure := h.forward(r.Context(), snapshot, q)
+	defer c.startChecks()()
+	result, failure := h.forward(c.ctx, snapshot, q)
 	switch {
 	case failure != nil && failure.Kind == apierror.KindCanceled:
 		h.endDeparted(q)
@@ -161,9 +163,13 @@
 
 // newRequest reads the caller's request and sets its deadline, service, key
 // position and placement. On a failure it still returns the request, for the log.
-func (h *Handler) newRequest(r *http.Request, snapshot *control.Snapshot, route *routes.Route, started time.Time) (*request, *apierror.Error) {
-	q := &request{id: r.Header.Get(h.HeaderNames.RequestID), started: started, route: route, position: dispatch.NoPosition,
-		caller: newCaller(r.Context(), started), stage: stageReading}
+func (h *Handler) newRequest(r *http.Request, snapshot *control.Snapshot, route *routes.Route, c *caller) (*request, *apierror.Error) {
+	started := c.since
+	q := &request{id: r.Header.Get(h.HeaderNames.RequestID), started: started, route: route, position: dispatch.NoPosition, caller: c, stage: stageReading}
+	// A host that was frozen or is busy reads requests of callers that left long ago.
+	if c.hasLeft() {
+		return q, apierror.New(apierror.KindCanceled, "the caller left before its request was read")
+	}
 	q.deadline = started.Add(route.Timeout)
 	clientDeadline := q.deadline
 	if text := r.Header.Get(h.HeaderNames.DeadlineMillis); text != "" {
@@ -232,13 +238,16 @@
 	for {
 		q.stage = h.waitingStage(q.service)
 		decision, ticket := h.Placer.Acquire(ctx, q.placement)
-		if ctx.Err() != nil && decision.Server == "" {
+		if ctx.Err() != nil {
+			if decision.Server != "" {
+				h.Placer.Release(ticket, dispatch.Result{Outcome: dispatch.Abandoned})
+			}
 			return exchange.Result{}, apierror.New(apierror.KindCanceled, "the caller left while the request waited")
 		}
 		if decision.Server == "" {
 			return exchange.Result{}, h.placementError(q, decision)
 		}
-		q.stage = stageChosen
+		q.stage = stageConnecting
 		h.RateLimits.CountAllowed(decision.Server)
 		result := h.attempt(ctx, q, decision, ticket)
 		if errors.Is(result.Err, detour.ErrNoPath) {
@@ -248,13 +257,22 @@
 			return result, &apierror.Error{Kind: kindIfNotExecuted(q.attempts, apierror.KindOverloaded), Detail: "the owner wants no requests yet", Err: result.Err, RetryAfter: max(q.heldOff, 2*responseMargin)}
 		}
 		v := decideAfterAttempt(q.route.Kind, q.route.MaxAttempts, q.attempts, result)
-		if v.action == actionRetry && !h.mayRetry(q, v) {
-			v = h.decideWithoutRetry(q, result)
+		if v.action == actionRetry {
+			q.stage = stageRetrying
+			switch {
+			case q.caller.hasLeft(): // before the retry uses the budget
+				v = attemptDecision{action: actionDrop}
+			case !h.mayRetry(q, v):
+				v = h.decideWithoutRetry(q, result)
+			}
 		}
 		switch v.action {
 		case actionDeliver:
 			return result, nil
 		case actionDrop:
+			if result.RemainingBody != nil {
+				h.closeRemainingBody(result)
+			}
 			return result, apierror.New(apierror.KindCanceled, "the caller left")
 		case actionFail:
 			return result, h.attemptError(q, v.kind, result)
@@ -284,14 +302,14 @@
 		return h.skipServer(q, decision, ticket, errHeldOff)
 	}
 	q.upstream.Deadline, q.upstream.ExpectedInstance = q.deadline, server.ID
-	hasLeft := q.caller.hasLeft()
+	q.upstream.Unwanted = q.caller.hasLeft
 	sentAt := time.Now()
 	result := pool.Do(ctx, &q.upstream)
 	took := time.Since(sentAt)
-	if q.stage = stageConnecting; result.Sent {
+	if result.Sent {
 		q.stage = stageSent
 	}
-	if result.Sent && (hasLeft || result.SentLate) {
+	if result.SentLate {
 		h.Metrics.countLateSend()
 	}
 	h.observeRateLimit(server, result, took)
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -30,7 +31,7 @@
 	}
 	w.WriteHeader(result.Status)
 	q.stage = stageResponding
-	if err := h.copyBody(w, result); err != nil {
+	if err := h.copyBody(q.caller.ctx, w, result); err != nil {
 		if q.caller.hasLeft() {
 			h.resetConnection(w)
 			h.endDeparted(q)
@@ -61,7 +62,7 @@
 }
 
 // copyBody writes the buffered part of the body and then streams the rest.
-func (h *Handler) copyBody(w http.ResponseWriter, result exchange.Result) error {
+func (h *Handler) copyBody(ctx context.Context, w http.ResponseWriter, result exchange.Result) error {
 	if _, err := io.Copy(w, bytes.NewReader(result.Body)); err != nil {
 		return err
 	}
@@ -69,6 +70,13 @@
 		return nil
 	}
 	defer h.closeRemainingBody(result)
+	// A caller that has left may not read either, so that a write would hang.
+	stop := context.AfterFunc(ctx, func() {
+		if err := http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0)); err != nil {
+			h.Log.Debug("entry: write to a caller that left not ended", zap.Error(err))
+		}
+	})
+	defer stop()
 	_, err := io.Copy(w, result.RemainingBody)
 	return err
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -446,7 +446,7 @@
 	reader            *bufio.Reader // reads from bounded
 	hasCarriedRequest bool
 	bodyBroken        atomic.Bool // the body of the current request could not be read to its end
-	refusedIDs        []string // requests that the server refused on this connection
+	refusedIDs        []string    // requests that the server refused on this connection
 	idleSince         time.Time
 	idleTimeout       time.Duration
 	reusable          bool
