Make the cost of a departure independent of the queue

What callers saw: nothing at first; at a large deployment the host that dispatches a service has less time for everything else the more callers leave, and the ends of its own callers wait for it.

Cause: Dispatcher.Cancel searched all queues and then considered every queued request again. Both grow with the queue, and the departures grow with it too: a product.

Change: queues find a request by its ID and drop it when half of the queue is removed or the queue is read.

Why it works: a removal is amortized constant; TestQueuesAgreeWithAModel checks counts and contents against a model.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -149,7 +149,7 @@
 	}
 	delete(d.callbacks, id)
 	if scheduler := d.schedulers[service]; scheduler != nil {
-		d.deliver(scheduler.Cancel(d.Now(), id))
+		scheduler.Cancel(id)
 	}
 	return true
 }
--- a/internal/dispatch/queues.go
+++ b/internal/dispatch/queues.go
@@ -19,27 +19,61 @@
 // all queued requests of a large service.
 type queueSet struct {
 	byName map[string][]*queuedRequest
+	byID   map[uint64]*queuedRequest
 	size   int // requests in all queues
+	// removed counts, by queue, the requests that were removed and still have their
+	// place in it.
+	removed map[string]int
 }
 
-func newQueueSet() queueSet { return queueSet{byName: make(map[string][]*queuedRequest)} }
+func newQueueSet() queueSet {
+	return queueSet{byName: make(map[string][]*queuedRequest), byID: make(map[uint64]*queuedRequest), removed: make(map[string]int)}
+}
 
 // add appends a request to a queue and returns the queue's name.
 func (q *queueSet) add(name string, r *queuedRequest) string {
+	r.queue = name
 	q.byName[name] = append(q.byName[name], r)
+	q.byID[r.ID] = r
 	q.size++
 	return name
 }
 
-// remove removes the request with the given ID from its queue.
-func (q *queueSet) remove(id uint64) {
-	for name, queue := range q.byName {
-		remaining := slices.DeleteFunc(queue, func(r *queuedRequest) bool { return r.ID == id })
-		if oldLength := len(queue); len(remaining) < oldLength {
-			q.replace(name, remaining, oldLength)
-			return
-		}
+// remove removes the request with the given ID and returns it, or nil if it is not
+// queued. Its place stays until half of the queue is removed or the queue is read,
+// so that the cost of a removal does not grow with the queue.
+func (q *queueSet) remove(id uint64) *queuedRequest {
+	r := q.byID[id]
+	if r == nil {
+		return nil
+	}
+	delete(q.byID, id)
+	q.size--
+	r.removed = true
+	if q.removed[r.queue]++; 2*q.removed[r.queue] > len(q.byName[r.queue]) {
+		q.compact(r.queue)
+	}
+	return r
+}
+
+// compact drops the removed requests from a queue.
+func (q *queueSet) compact(name string) {
+	if q.removed[name] == 0 {
+		return
 	}
+	delete(q.removed, name)
+	remaining := slices.DeleteFunc(q.byName[name], func(r *queuedRequest) bool { return r.removed })
+	if len(remaining) == 0 {
+		delete(q.byName, name)
+		return
+	}
+	q.byName[name] = remaining
+}
+
+// get returns the requests in a queue.
+func (q *queueSet) get(name string) []*queuedRequest {
+	q.compact(name)
+	return q.byName[name]
 }
 
 // replace stores the remaining requests of a queue that had the given length.
@@ -57,7 +91,8 @@
 // regroup moves each request to the queue that nameOf returns for it now.
 func (q *queueSet) regroup(nameOf func(*queuedRequest) string) {
 	var moved []*queuedRequest
-	for name, queue := range q.byName {
+	for name := range q.byName {
+		queue := q.get(name)
 		remaining := queue[:0]
 		for _, r := range queue {
 			if nameOf(r) == name {
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -216,6 +216,8 @@
 type queuedRequest struct {
 	Request
 	enqueuedAt Instant
+	queue      string // name of the queue
+	removed    bool   // from the queue, in which it may still have its place
 }
 
 // Scheduler queues the requests of one service and assigns them to servers.
@@ -304,11 +306,9 @@
 	return sched.decideQueue(now, sched.queues.add(sched.queueName(r), r))
 }
 
-// Cancel removes a queued request and returns the resulting decisions.
-func (sched *Scheduler) Cancel(now Instant, id uint64) []Decision {
-	sched.queues.remove(id)
-	return sched.Reschedule(now)
-}
+// Cancel removes a queued request. It frees no slot, so there is nothing to decide for
+// the requests behind it before the next Reschedule.
+func (sched *Scheduler) Cancel(id uint64) { sched.queues.remove(id) }
 
 // SetOwner replaces the function that returns the owner of a key position and
 // returns the resulting decisions.
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -38,7 +38,7 @@
 
 // decideQueue returns every decision about one queue that can be made at now.
 func (sched *Scheduler) decideQueue(now Instant, name string) []Decision {
-	queue := sched.queues.byName[name]
+	queue := sched.queues.get(name)
 	if len(queue) == 0 {
 		return nil
 	}
@@ -54,6 +54,7 @@
 		decision, done := sched.decide(&snap, r, ahead)
 		if done {
 			decisions = append(decisions, decision)
+			delete(sched.queues.byID, r.ID)
 			continue
 		}
 		ahead.count++
