Take the work of departed requests out of the offered load

What callers saw: a service whose callers have left in great numbers rejects those who stay for another second, although there is room for them.

Cause: the offered load decides whether a late request is accepted, and it kept the work of requests that left the queue without a server.

Change: a departure from the queue takes its work, decayed by then, back out.

Why it works: what is left is the load of requests that are served or wait.

--- a/internal/dispatch/departure_test.go
+++ b/internal/dispatch/departure_test.go
@@ -49,7 +49,7 @@
 func TestDepartureConsidersNoOtherRequest(t *testing.T) {
 	sched, lookups := newBusyScheduler(t, manyQueued)
 	for id := range uint64(manyQueued * 9 / 10) {
-		sched.Cancel(id + 1)
+		sched.Cancel(1, id+1)
 	}
 	assert.Equal(t, *lookups, 0)
 	assert.Equal(t, sched.queues.size, manyQueued/10)
@@ -69,8 +69,8 @@
 	}
 	assert.Equal(t, submit(10, time.Second/2)[0].Reason, ReasonOverload, "behind eight others")
 	for id := uint64(2); id <= 9; id++ {
-		sched.Cancel(id)
-		sched.Cancel(id) // has no effect
+		sched.Cancel(0, id)
+		sched.Cancel(0, id) // has no effect
 	}
 	assert.Equal(t, sched.queues.size, 0)
 	assert.Equal(t, len(submit(11, time.Second/2)), 0, "behind nobody")
@@ -95,7 +95,7 @@
 		}
 		now = now.Add(100 * time.Millisecond)
 		for id := uint64(2); id <= 40; id++ {
-			sched.Cancel(id)
+			sched.Cancel(now, id)
 		}
 		// It will be late for its target, which an idle service accepts.
 		assert.Equal(t, len(submit(41, 50*time.Millisecond)), 0, name)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -149,7 +149,7 @@
 	}
 	delete(d.callbacks, id)
 	if scheduler := d.schedulers[service]; scheduler != nil {
-		scheduler.Cancel(id)
+		scheduler.Cancel(d.Now(), id)
 	}
 	return true
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -180,6 +180,12 @@
 	m.updatedAt = now
 }
 
+// remove takes back the work of a request that was added at the given instant.
+func (m *loadMeter) remove(now, addedAt Instant, work time.Duration) {
+	left := work.Seconds() / loadWindow.Seconds() * math.Exp(-now.Sub(addedAt).Seconds()/loadWindow.Seconds())
+	m.rate, m.updatedAt = max(m.current(now)-left, 0), now
+}
+
 // current returns the offered load in seconds of work per second.
 func (m *loadMeter) current(now Instant) float64 {
 	return m.rate * math.Exp(-now.Sub(m.updatedAt).Seconds()/loadWindow.Seconds())
@@ -308,7 +314,17 @@
 
 // Cancel removes a queued request. It frees no slot, so there is nothing to decide for
 // the requests behind it before the next Reschedule.
-func (sched *Scheduler) Cancel(id uint64) { sched.queues.remove(id) }
+// Its work no longer counts as offered load: those who stay are not rejected for it.
+func (sched *Scheduler) Cancel(now Instant, id uint64) {
+	r := sched.queues.remove(id)
+	if r == nil {
+		return
+	}
+	sched.offeredLoad.remove(now, r.enqueuedAt, r.Work)
+	if s := sched.servers[r.queue]; s != nil {
+		s.offeredLoad.remove(now, r.enqueuedAt, r.Work)
+	}
+}
 
 // SetOwner replaces the function that returns the owner of a key position and
 // returns the resulting decisions.
