Do not queue a request whose end arrives in the same frame

What callers saw: nothing; the dispatcher queued a request nobody waited for, gave it a server and kept a slot until the host had answered.

Cause: messages that accumulate during a write share a frame, and the dispatcher handles the ends in a frame before its requests. The busier the host, the more requests end in the frame that brings them.

Change: requests whose end is in the same frame are skipped.

Why it works: identifiers are unique on a connection, so an end in a frame can only be that of the request before it.

--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -150,8 +150,15 @@
 			h.cancelOrRelease(submitted, dispatch.Result{Outcome: dispatch.Abandoned})
 		}
 	}
+	// A busy host may send a request and its end in one frame.
+	ended := make(map[uint64]bool, len(frame.Canceled))
+	for _, id := range frame.Canceled {
+		ended[id] = true
+	}
 	for _, request := range frame.Asks {
-		h.submit(request)
+		if !ended[request.Id] {
+			h.submit(request)
+		}
 	}
 }
 
