Count a request as sent only if a byte of it was written

What callers saw: nothing; a request whose caller left while its connection was being opened counted as sent to a server with a rate limit, as possibly executed and as a failed response of the server.

Cause: the bookkeeping went by the outcome, and canceled exchanges have one outcome whether anything was written or not.

Change: exchange reports whether any byte was written; canceled exchanges are no response of the server.

Why it works: what was not written can't have run.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -341,7 +341,7 @@
 
 // observeRateLimit records what the result says about the server's rate limit.
 func (h *Handler) observeRateLimit(server ratelimit.Server, result exchange.Result, took time.Duration) {
-	if result.Outcome != exchange.NotSent {
+	if result.Sent {
 		h.RateLimits.CountSent(server.ID)
 	}
 	if result.RateLimitErr != nil {
@@ -358,7 +358,7 @@
 	answered := result.Outcome == exchange.Answered
 	success := answered && result.Status < http.StatusInternalServerError
 	switch {
-	case result.Outcome == exchange.NotSent:
+	case !result.Sent:
 		q.attempts.unsent++
 	case result.Outcome == exchange.Refused:
 		q.attempts.refused++
@@ -386,7 +386,7 @@
 		}
 		return
 	}
-	if h.isMisleading(result) {
+	if result.Outcome == exchange.Canceled || h.isMisleading(result) {
 		return
 	}
 	h.Reports.CountResponse(decision.Server, true, 0, 0)
