Keep a server whose entry another writer overwrites

What callers saw: the keys of a live server without an owner, and its requests moved to others, until its next heartbeat, as often as somebody writes there.

Cause: an entry that can't be decoded counted as the end of the server whose key it has.

Evidence: TestOddEntryAtTheKeyOfAServerChangesNothing failed before: all four hosts had removed the server.

Change: such an entry names no server and changes none. One warning a host and entry names it, however often it is read; gauges count and name them.

Why it works: a server that lives writes its entry again within a heartbeat, and one that has ended has its key deleted or is not reached.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -109,17 +109,26 @@
 	}
 }
 
-// apply updates one entry. An entry that can't be decoded counts as no server.
+// apply updates one entry. An entry that can't be decoded was written by somebody
+// else: it names no server, and it says nothing about the server whose entry was at
+// its key, which counts until its next entry or until the key is deleted.
 func (r *serverReader) apply(n *Node, kv store.KeyValue) {
 	s, err := n.Schema.DecodeServer(kv)
 	if err != nil {
-		n.Log.Debug("control: invalid server entry ignored", zap.Error(err))
-		delete(r.entries, kv.Key)
+		_, kept := r.entries[kv.Key]
+		n.recordInvalidEntry(kv.Key, kept, err)
 		return
 	}
+	n.removeInvalidEntry(kv.Key)
 	r.entries[kv.Key] = s
 }
 
+// remove removes a deleted entry.
+func (r *serverReader) remove(n *Node, key string) {
+	n.removeInvalidEntry(key)
+	delete(r.entries, key)
+}
+
 // read brings the entries up to date.
 func (r *serverReader) read(ctx context.Context, n *Node) error {
 	if r.revision > 0 {
@@ -127,7 +136,7 @@
 		if err == nil {
 			for _, event := range batch.Events {
 				if event.Deleted {
-					delete(r.entries, event.Key)
+					r.remove(n, event.Key)
 					continue
 				}
 				r.apply(n, event.KeyValue)
@@ -146,13 +155,66 @@
 	if err != nil {
 		return err
 	}
-	r.entries, r.revision = make(map[string]registry.Server, len(items)), revision
+	listed := make(map[string]bool, len(items))
+	for _, kv := range items {
+		listed[kv.Key] = true
+	}
+	for key := range r.entries {
+		if !listed[key] {
+			delete(r.entries, key)
+		}
+	}
+	n.retainInvalidEntries(listed)
+	if r.entries == nil {
+		r.entries = make(map[string]registry.Server, len(items))
+	}
+	r.revision = revision
 	for _, kv := range items {
 		r.apply(n, kv)
 	}
 	return nil
 }
 
+// maxInvalidEntries bounds the invalid entries that a host remembers. Others are
+// ignored without a line in the log.
+const maxInvalidEntries = 1000
+
+// recordInvalidEntry records that an entry can't be decoded, and logs it unless it
+// was invalid before. Kept is true if the server that had the key still counts.
+func (n *Node) recordInvalidEntry(key string, kept bool, err error) {
+	n.mu.Lock()
+	known := n.invalidEntries[key] || len(n.invalidEntries) >= maxInvalidEntries
+	if !known {
+		n.invalidEntries[key] = true
+	}
+	n.mu.Unlock()
+	if !known {
+		n.Log.Warn("control: invalid server entry ignored", zap.String("key", key), zap.Bool("server_kept", kept), zap.Error(err))
+	}
+}
+
+// removeInvalidEntry forgets an invalid entry that has become valid or is deleted.
+func (n *Node) removeInvalidEntry(key string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.invalidEntries, key)
+}
+
+// retainInvalidEntries forgets the invalid entries that are no longer listed.
+func (n *Node) retainInvalidEntries(listed map[string]bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	maps.DeleteFunc(n.invalidEntries, func(key string, _ bool) bool { return !listed[key] })
+}
+
+// InvalidEntries returns the keys of server entries that this host has read last and
+// can't decode, in order.
+func (n *Node) InvalidEntries() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Sorted(maps.Keys(n.invalidEntries))
+}
+
 // readServers brings the view's server list up to date. It returns true if the
 // store responded.
 func (n *Node) readServers(ctx context.Context) bool {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -122,6 +122,8 @@
 	// needsFullState is true if received changes could not be applied to the
 	// state of this host.
 	needsFullState bool
+	// invalidEntries holds the keys of server entries that can't be decoded.
+	invalidEntries map[string]bool
 	lastReadAt     boottime.Instant
 	storeEra       store.Era // latest known
 	// committed holds the newest assignment of each service that this host has
@@ -173,7 +175,7 @@
 	if options.RateLimits == nil {
 		options.RateLimits = ratelimit.NewTable(options.Clock, options.Log)
 	}
-	n := &Node{Options: options, view: NewView(), history: newHistory(), tracker: registry.NewTracker(), storeReachable: true, storeEra: store.FirstEra, serversEra: store.FirstEra, committed: make(map[string]*shards.Assignment), startedAt: options.Clock(),
+	n := &Node{Options: options, view: NewView(), history: newHistory(), tracker: registry.NewTracker(), storeReachable: true, storeEra: store.FirstEra, serversEra: store.FirstEra, committed: make(map[string]*shards.Assignment), invalidEntries: make(map[string]bool), startedAt: options.Clock(),
 		timing: timing{storeOutageTolerance: storeOutageTolerance, formerLeaderWait: storeOutageTolerance, grantExpiry: grantExpiry}}
 	n.view.OnChange(n.history.record)
 	return n
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -147,6 +147,9 @@
 		{"control.store_era", "Latest era of the store; it rises when the store is restored from an older copy.", func(*control.Snapshot) float64 {
 			return float64(node.StoreEra())
 		}},
+		{"control.invalid_entries", "Server entries that this host has read last and can't decode.", func(*control.Snapshot) float64 {
+			return float64(len(node.InvalidEntries()))
+		}},
 		{"control.hosts", "Hosts that share the work.", func(s *control.Snapshot) float64 { return float64(s.HostCount) }},
 	}
 	for _, g := range gauges {
@@ -159,5 +162,16 @@
 			return err
 		}
 	}
-	return nil
+	_, err := meter.Float64ObservableGauge("control.invalid_entry", metric.WithDescription("1 for each of the first server entries that this host can't decode."),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			keys := node.InvalidEntries()
+			for _, key := range keys[:min(len(keys), maxNamedEntries)] {
+				o.Observe(1, metric.WithAttributes(attribute.String("key", key)))
+			}
+			return nil
+		}))
+	return err
 }
+
+// maxNamedEntries bounds the invalid entries that are named in the metrics.
+const maxNamedEntries = 20
