Replace items of the system itself that another writer has overwritten

What callers saw: a quarter of the keys without an owner after the next loss of a server, all of them after an assignment with the highest version.

Cause: an item that can't be decoded counted as one that is there. A leader's key without a lease never ends, so nobody stands for election, and its leader keeps failing to commit; an assignment that can't be decoded is read again each 50 ms; a version of 2^63 - 1 leaves none above it. A list of former leaders that can't be decoded counted as empty, although each of them may renew grants.

Change: a leader's key that names no host or has no lease is replaced in an election, and a leader whose commit fails confirms its key or steps down. An assignment that can't be decoded, or whose version is above what its revision allows, is replaced by the newest known one under a higher version; if it is not known to be complete, servers first release what they do not own, as after a restore. Unreadable former leaders count as one that can't be asked. Numbers and texts of stored items are bounded.

Why it works: commits are conditional on the revision, so nobody has committed since the other writer, and each version is at most its revision.

--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 
 	"connectrpc.com/connect"
@@ -30,11 +31,9 @@
 // grants, which the next leader reads, and replaces the keys of earlier eras by
 // that of the store's era.
 func (n *Node) campaign(ctx context.Context, revision int64, formerValue []byte, eraKeys []string) {
-	var former []leaderRecord
-	if len(formerValue) > 0 {
-		if err := json.Unmarshal(formerValue, &former); err != nil {
-			n.Log.Warn("control: list of former leaders can't be decoded", zap.Error(err))
-		}
+	former, err := decodeFormerLeaders(formerValue)
+	if err != nil {
+		n.Log.Warn("control: list of former leaders can't be decoded", zap.Error(err))
 	}
 	// Earlier leaders on this host were processes that have ended.
 	former = slices.DeleteFunc(former, func(f leaderRecord) bool { return f.Host == n.Host || f.Address == n.Address })
@@ -85,6 +84,26 @@
 	n.Log.Info("control: leading", zap.Int64("term", l.term), zap.Int("former_leaders", len(former)))
 }
 
+// maxFormerLeaders is far above the leaders that may renew grants at a time.
+const maxFormerLeaders = 1000
+
+// decodeFormerLeaders decodes the list of former leaders. If it can't be decoded, any
+// host may be one: the list then holds a leader that can't be asked.
+func decodeFormerLeaders(value []byte) ([]leaderRecord, error) {
+	if len(value) == 0 {
+		return nil, nil
+	}
+	var former []leaderRecord
+	err := json.Unmarshal(value, &former)
+	if err == nil && len(former) <= maxFormerLeaders && !slices.ContainsFunc(former, func(f leaderRecord) bool { return !f.isValid() && f.Host != unknownLeader }) {
+		return former, nil
+	}
+	if err == nil {
+		err = errors.New("it has too many records or one that names no host")
+	}
+	return []leaderRecord{{Host: unknownLeader}}, err
+}
+
 // revokeLease ends the lease, so that the next leader need not wait for its
 // expiry.
 func (l *leadership) revokeLease() {
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -13,13 +13,12 @@
 	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
 	"github.com/cassiasill/cassiasill/internal/registry"
-	"github.com/cassiasill/cassiasill/internal/shards"
 	"github.com/cassiasill/cassiasill/internal/store"
 )
 
 // applyStoredAssignment applies a committed assignment read from the store.
 func (n *Node) applyStoredAssignment(kv store.KeyValue) {
-	a, err := shards.Decode(kv.Value, kv.ModRevision)
+	a, err := decodeStoredAssignment(kv)
 	if err != nil {
 		n.Log.Error("control: assignment can't be decoded", zap.String("key", kv.Key), zap.Error(err))
 		return
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -162,11 +162,15 @@
 		m.storeRetryAt = now.Add(assignmentRetryDelay)
 		return false
 	}
+	if m.isUncertain() && !m.leadership.confirmKey(ctx) {
+		return false
+	}
 	var stored *shards.Assignment
 	if found {
-		if stored, err = shards.Decode(kv.Value, kv.ModRevision); err != nil {
+		if stored, err = decodeStoredAssignment(kv); err != nil {
 			m.log().Error("shards: committed assignment can't be decoded", zap.Error(err))
-			return false
+			m.storeRetryAt = now.Add(assignmentRetryDelay)
+			return m.replaceAssignment(ctx, kv.ModRevision, servers)
 		}
 	}
 	if n.Store.Era() != m.leadership.era() {
--- a/internal/control/oddentries_test.go
+++ b/internal/control/oddentries_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -126,3 +128,71 @@
 		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
 	})
 }
+
+// ownKeys are the keys that this system writes itself, with values of another writer.
+var ownKeys = map[string][]string{
+	leaderKey:                 {oddEntry, `{}`, `{"host":"h9","address":"host-h9"}`, `{"host":9}`},
+	formerLeadersKey:          {oddEntry, `{}`, `[{"host":9}]`},
+	relaysKey:                 {oddEntry, `{"hosts":9000000000000000000,"relays":["a:99999"]}`, `{"hosts":-5}`, `{"hosts":1,"relays":9}`},
+	assignmentsPrefix + "svc": {oddEntry, `{"version":9223372036854775807,"ranges":[{"from":0,"to":65535}]}`, `{"version":-1}`, `{"version":1e300}`},
+}
+
+// Guards against a deployment without a leader, or keys without an owner, because
+// another writer has overwritten an item of the system itself: at once, and when a
+// leader has to be elected, a server starts and all hosts start anew.
+func TestOddItemsOfTheSystemItselfAreReplaced(t *testing.T) {
+	for key, values := range ownKeys {
+		for _, value := range values {
+			t.Run(key+" "+value, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := newCluster(t, 4, 4, 74, nil)
+					closed := false
+					defer func() {
+						if !closed {
+							c.close()
+						}
+					}()
+					time.Sleep(6 * time.Second)
+					c.putEntry(key, value)
+					time.Sleep(3 * time.Second)
+					assert.Equal(t, c.unservedPositions(), 0, "after the entry")
+					c.crashServer("s1")
+					c.startServer("s9")
+					time.Sleep(12 * time.Second)
+					assert.Equal(t, c.unservedPositions(), 0, "after the loss of a server")
+					c.putEntry(key, value)
+					c.killHost(c.leader())
+					time.Sleep(25 * time.Second)
+					assert.Assert(t, c.leader() != nil, "no leader after the loss of one")
+					assert.Equal(t, c.unservedPositions(), 0, "after the loss of the leader")
+					c.putEntry(key, value)
+					for _, h := range slices.Collect(maps.Values(c.hosts)) {
+						c.killHost(h)
+					}
+					for i := range 4 {
+						c.startHost(fmt.Sprint("h", i))
+					}
+					time.Sleep(30 * time.Second)
+					assert.Assert(t, c.leader() != nil, "no leader after a start of all hosts")
+					assert.Equal(t, c.unservedPositions(), 0, "after a start of all hosts")
+					closed = true
+					assert.Equal(t, len(c.close()), 0, "%v", c.errors)
+				})
+			})
+		}
+	}
+}
+
+// Guards against moving keys while a former leader renews grants, because the list of
+// those can't be decoded and counts as empty.
+func TestUnreadableFormerLeadersMayStillRenew(t *testing.T) {
+	for _, value := range []string{oddEntry, `{}`, `[{"host":9}]`, `[{"host":"h1"}]`, `[{"host":"h1","address":"` + strings.Repeat("a", 1000) + `"}]`} {
+		former, err := decodeFormerLeaders([]byte(value))
+		assert.Assert(t, err != nil, value)
+		assert.DeepEqual(t, former, []leaderRecord{{Host: unknownLeader}})
+	}
+	for _, value := range []string{``, `[]`, `[{"host":"h1","address":"host-h1"},{"host":"unknown","address":""}]`} {
+		_, err := decodeFormerLeaders([]byte(value))
+		assert.NilError(t, err, value)
+	}
+}
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -159,6 +160,56 @@
 	return true
 }
 
+// decodeStoredAssignment decodes an assignment in the store. Each change raises the
+// version by one and takes a revision, so a version above that of its revision was
+// written by somebody else.
+func decodeStoredAssignment(kv store.KeyValue) (*shards.Assignment, error) {
+	a, err := shards.Decode(kv.Value, kv.ModRevision)
+	if err == nil && a.Version > highestVersionAt(kv.ModRevision) {
+		err = &shards.InvalidError{Problem: fmt.Sprintf("version %d is too high for revision %d", a.Version, kv.ModRevision)}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// highestVersionAt returns the highest version that can have been committed up to a
+// revision of the store.
+func highestVersionAt(revision int64) int64 {
+	return shards.FirstVersionOf(store.EraOf(revision)) + store.WithoutEra(revision)
+}
+
+// replaceAssignment writes the newest known assignment over one of another writer at
+// the given revision, under a version above all that can have been committed. It
+// returns true if the assignment is known.
+func (m *assignmentManager) replaceAssignment(ctx context.Context, revision int64, servers map[string]registry.Server) bool {
+	n, l := m.leadership.node, m.leadership
+	complete := m.assignment != nil // nobody else has committed in this term
+	newest := m.assignment
+	if !complete {
+		l.recovery.collect(ctx)
+		complete, newest = l.recovery.complete, n.newestAssignments()[m.service]
+	}
+	if newest == nil {
+		complete, newest = false, shards.InitialAssignment(m.candidates(servers))
+	}
+	next := newest.WithVersion(max(newest.Version, highestVersionAt(revision)) + 1)
+	m.commitAfter(ctx, next, revision)
+	m.mu.Lock()
+	written := m.assignment == next
+	m.mu.Unlock()
+	if !written {
+		return false
+	}
+	m.log().Warn("shards: assignment of another writer replaced", zap.Int64("known_version", newest.Version), zap.Int64("version", next.Version), zap.Bool("complete", complete))
+	if !complete {
+		m.fenceServers(ctx, next)
+	}
+	m.adopt(next)
+	return true
+}
+
 // fenceServers makes every server release the positions that it does not own in
 // the assignment.
 func (m *assignmentManager) fenceServers(ctx context.Context, a *shards.Assignment) {
--- a/internal/control/relayrecord.go
+++ b/internal/control/relayrecord.go
@@ -16,6 +16,12 @@
 // relays to the store.
 const minRelaysWriteInterval = 3 * time.Second
 
+// Bounds of a relayRecord, far above what a leader writes.
+const (
+	maxHostCount    = 100_000
+	maxStoredRelays = 64
+)
+
 // relayRecord is the value of the relays' key.
 type relayRecord struct {
 	// HostCount is the number of hosts. After a restart, each host uses it to
--- a/internal/control/search.go
+++ b/internal/control/search.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -34,6 +35,11 @@
 		n.Log.Warn("control: list of relays can't be decoded", zap.Error(err))
 		return
 	}
+	stored.Relays = slices.DeleteFunc(stored.Relays, func(a string) bool { return a == "" || len(a) > maxAddressBytes })
+	if stored.HostCount < 0 || stored.HostCount > maxHostCount || len(stored.Relays) > maxStoredRelays {
+		n.Log.Warn("control: list of relays is out of bounds", zap.Int("hosts", stored.HostCount), zap.Int("relays", len(stored.Relays)))
+		return
+	}
 	n.mu.Lock()
 	first := len(n.relays) == 0
 	if first {
@@ -103,12 +109,14 @@
 			n.applyStoredAssignment(kv)
 		}
 	}
-	current := n.recordLeader(leaderEntry)
+	// A key that another writer has overwritten is replaced like a missing one: its
+	// leader can commit nothing any more, and is among the former leaders.
+	current, valid := n.recordLeader(leaderEntry)
 	n.mu.Lock()
 	unreachable, retired := n.unreachableTerm, n.retired
 	n.mu.Unlock()
 	switch {
-	case leaderEntry.Key == "" && !retired && n.maySearchStore():
+	case !valid && !retired && n.maySearchStore():
 		delay := time.Duration(rand.Float64()*float64(electionJitter)) + electionDelay(n.Capacity, n.largestCapacity())
 		if n.CutOff() {
 			delay += cutOffElectionDelay
@@ -116,10 +124,12 @@
 		n.sleep(ctx, delay)
 		// A campaign takes three calls, and another host may have been elected
 		// during the delay.
-		if kv, exists, _, err := n.Store.Get(ctx, leaderKey); err == nil && exists {
-			n.recordLeader(kv)
-		} else if err == nil {
-			n.campaign(ctx, 0, formerValue, eraKeys)
+		kv, _, _, err := n.Store.Get(ctx, leaderKey)
+		if err != nil {
+			break
+		}
+		if _, valid := n.recordLeader(kv); !valid {
+			n.campaign(ctx, kv.ModRevision, formerValue, eraKeys)
 		}
 	case current.Host == n.Host && !retired:
 		// The key was written by an earlier process on this host, which has
@@ -131,23 +141,46 @@
 	return true
 }
 
-// recordLeader records the leader from the leader's key, which is empty if
-// there is none.
-func (n *Node) recordLeader(kv store.KeyValue) leaderRecord {
-	var current leaderRecord
-	if kv.Key != "" {
-		if err := json.Unmarshal(kv.Value, &current); err != nil {
-			n.Log.Warn("control: leader's key can't be decoded", zap.Error(err))
-		}
-		// The term is not the creation revision: a host that takes over the key
-		// of its earlier process changes it without creating it.
-		current.Term = kv.ModRevision
+// recordLeader records the leader from the leader's key, which is empty if there is
+// none. It returns false if the key is empty or was not written by a leader.
+func (n *Node) recordLeader(kv store.KeyValue) (leaderRecord, bool) {
+	current, err := decodeLeader(kv)
+	if err != nil {
+		n.Log.Warn("control: leader's key can't be decoded", zap.Int64("revision", kv.ModRevision), zap.Error(err))
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.leader = current
 	n.highestTerm = max(n.highestTerm, current.Term)
-	return current
+	return current, current.Address != ""
+}
+
+// maxAddressBytes bounds the names and addresses of hosts in the store.
+const maxAddressBytes = 256
+
+// isValid reports whether the record can be that of a host.
+func (l leaderRecord) isValid() bool {
+	return l.Host != "" && l.Address != "" && len(l.Host) <= maxAddressBytes && len(l.Address) <= maxAddressBytes
+}
+
+// decodeLeader decodes the leader's key, which is empty if there is no leader. The
+// zero record stands for none.
+func decodeLeader(kv store.KeyValue) (leaderRecord, error) {
+	if kv.Key == "" {
+		return leaderRecord{}, nil
+	}
+	var current leaderRecord
+	if err := json.Unmarshal(kv.Value, &current); err != nil {
+		return leaderRecord{}, err
+	}
+	if !current.isValid() || kv.Lease == 0 {
+		// Without a lease it would never end.
+		return leaderRecord{}, errors.New("it names no host or has no lease")
+	}
+	// The term is not the creation revision: a host that takes over the key of its
+	// earlier process changes it without creating it.
+	current.Term = kv.ModRevision
+	return current, nil
 }
 
 // awaitElection waits up to leaderWatchTimeout for the key of an unreachable
--- a/internal/shards/assignment.go
+++ b/internal/shards/assignment.go
@@ -84,6 +84,13 @@
 	Revision int64 `json:"-"`
 }
 
+// Bounds of the values in an assignment: versions must be able to rise, and owners are
+// IDs of servers.
+const (
+	maxVersion   = 1 << 62
+	maxTextBytes = 256
+)
+
 // Decode decodes and validates a committed assignment.
 func Decode(data []byte, revision int64) (*Assignment, error) {
 	a := &Assignment{}
@@ -106,8 +113,14 @@
 // validate checks that the ranges cover all positions once, and that no fencing
 // token is above the version.
 func (a *Assignment) validate() error {
+	if a.Version < 0 || a.Version > maxVersion {
+		return &InvalidError{Problem: fmt.Sprintf("version %d is out of bounds", a.Version)}
+	}
 	next := 0
 	for _, r := range a.Ranges {
+		if r.Token < 0 || r.ReleaseToken < 0 || r.Incarnation < 0 || max(len(r.Owner), len(r.PlannedOwner), len(r.Handover)) > maxTextBytes {
+			return &InvalidError{Problem: fmt.Sprintf("range %d-%d has a value out of bounds", r.From, r.To)}
+		}
 		if int(r.From) != next || r.To < r.From {
 			return &InvalidError{Problem: fmt.Sprintf("range %d-%d does not follow position %d", r.From, r.To, next-1)}
 		}
