--- a/internal/placing/departure_test.go
+++ b/internal/placing/departure_test.go
@@ -80,3 +80,47 @@
 	s.handleFrame(&fleetpb.DispatchFrame{Asks: []*fleetpb.DispatchAsk{newAsk(3)}, Canceled: []uint64{1}})
 	assert.Assert(t, holdsFreeSlot(d))
 }
+
+// Guards against departures that cost more messages the more hosts there are: a host
+// sends one for each, and the dispatcher none.
+func TestDepartureIsOneMessage(t *testing.T) {
+	const hosts, perHost = 195, 10
+	d := newDispatcher("s1")
+	_, id := d.Acquire(context.Background(), dispatch.Request{Service: "svc", Position: dispatch.NoPosition, Deadline: d.Now().Add(time.Minute), Target: d.Now().Add(time.Minute)})
+	var sessions []*hostSession
+	for range hosts {
+		s := newSession(t, d)
+		frame := &fleetpb.DispatchFrame{}
+		for i := range perHost {
+			ask := newAsk(uint64(i))
+			ask.DeadlineMicros, ask.TargetMicros = 3e9, 2e9
+			frame.Asks = append(frame.Asks, ask)
+		}
+		s.handleFrame(frame)
+		assert.Equal(t, len(s.requests), perHost)
+		sessions = append(sessions, s)
+	}
+	for _, s := range sessions {
+		for i := range perHost {
+			s.handleFrame(&fleetpb.DispatchFrame{Canceled: []uint64{uint64(i)}})
+		}
+		assert.Equal(t, len(s.requests), 0)
+		assert.Equal(t, s.conn.pendingCount, 0)
+	}
+	d.Release("svc", id, dispatch.Result{})
+	assert.Assert(t, holdsFreeSlot(d))
+
+	host, dispatcher := net.Pipe()
+	defer dispatcher.Close()
+	c := newClient("a", nil, nil, newTable())
+	c.conn = newFrameConn(host)
+	defer c.conn.close()
+	for range perHost {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+		_, _, decided := c.acquire(ctx, 0, dispatch.Request{Service: "svc", Deadline: dispatch.Instant(time.Second)})
+		cancel()
+		assert.Assert(t, decided)
+	}
+	assert.Equal(t, len(c.pending), 0)
+	assert.Equal(t, len(c.conn.pending.Canceled), perHost)
+}
