--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -104,6 +104,19 @@
 	return []leaderRecord{{Host: unknownLeader}}, err
 }
 
+// confirmKey steps down if the leader's key is no longer the one that this host has
+// written: it could commit nothing any more. It returns false if the key is not
+// confirmed.
+func (l *leadership) confirmKey(ctx context.Context) bool {
+	kv, found, _, err := l.node.Store.Get(ctx, leaderKey)
+	l.node.recordStoreResult(err)
+	if err == nil && (!found || kv.ModRevision != l.term) {
+		l.stepDown("the leader's key was overwritten or has expired")
+		return false
+	}
+	return err == nil
+}
+
 // revokeLease ends the lease, so that the next leader need not wait for its
 // expiry.
 func (l *leadership) revokeLease() {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -298,19 +298,6 @@
 	})
 }
 
-// confirmKey steps down if the leader's key is no longer the one that this host has
-// written: it could commit nothing any more. It returns false if the key is not
-// confirmed.
-func (l *leadership) confirmKey(ctx context.Context) bool {
-	kv, found, _, err := l.node.Store.Get(ctx, leaderKey)
-	l.node.recordStoreResult(err)
-	if err == nil && (!found || kv.ModRevision != l.term) {
-		l.stepDown("the leader's key was overwritten or has expired")
-		return false
-	}
-	return err == nil
-}
-
 // refreshServers reads the servers from the store and updates the hosts, their
 // duties and the measured speeds. It steps down if a larger host is ready to
 // lead.
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -167,30 +166,6 @@
 	minRetryAfter = 50 * time.Millisecond
 )
 
-// loadMeter measures offered load, the work requested per second whether served
-// or not, as an exponentially decaying average.
-type loadMeter struct {
-	rate      float64 // seconds of work per second
-	updatedAt Instant
-}
-
-// add counts the work of a new request.
-func (m *loadMeter) add(now Instant, work time.Duration) {
-	m.rate = m.current(now) + work.Seconds()/loadWindow.Seconds()
-	m.updatedAt = now
-}
-
-// remove takes back the work of a request that was added at the given instant.
-func (m *loadMeter) remove(now, addedAt Instant, work time.Duration) {
-	left := work.Seconds() / loadWindow.Seconds() * math.Exp(-now.Sub(addedAt).Seconds()/loadWindow.Seconds())
-	m.rate, m.updatedAt = max(m.current(now)-left, 0), now
-}
-
-// current returns the offered load in seconds of work per second.
-func (m *loadMeter) current(now Instant) float64 {
-	return m.rate * math.Exp(-now.Sub(m.updatedAt).Seconds()/loadWindow.Seconds())
-}
-
 // serverState is the state of one server in the scheduler.
 type serverState struct {
 	Server
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/control"
+	"github.com/cassiasill/cassiasill/internal/dispatch"
+	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/quarantine"
+	"github.com/cassiasill/cassiasill/internal/routes"
+)
+
+// request is the state of one caller's request.
+type request struct {
+	id               string
+	started          time.Time
+	deadline         time.Time // the caller's or the route's, whichever is earlier
+	route            *routes.Route
+	service          string
+	position         int
+	placement        dispatch.Request
+	upstream         exchange.Request
+	attempts         attemptCounts
+	attemptedServers []string
+	expectedWork     time.Duration
+	caller           *caller
+	stage            stage
+	// heldOff is when the first server that wants no request yet will take one.
+	heldOff time.Duration
+}
+
+// rawPath returns the path as the caller sent it, without the query.
+func rawPath(r *http.Request) string {
+	target, _, _ := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(target, "/") {
+		return r.URL.EscapedPath()
+	}
+	return target
+}
+
+// newRequest reads the caller's request and sets its deadline, service, key
+// position and placement. On a failure it still returns the request, for the log.
+func (h *Handler) newRequest(r *http.Request, snapshot *control.Snapshot, route *routes.Route, c *caller) (*request, *apierror.Error) {
+	started := c.since
+	q := &request{id: r.Header.Get(h.HeaderNames.RequestID), started: started, route: route, position: dispatch.NoPosition, caller: c, stage: stageReading}
+	// A host that was frozen or is busy reads requests of callers that left long ago.
+	if c.hasLeft() {
+		return q, apierror.New(apierror.KindCanceled, "the caller left before its request was read")
+	}
+	q.deadline = started.Add(route.Timeout)
+	clientDeadline := q.deadline
+	if text := r.Header.Get(h.HeaderNames.DeadlineMillis); text != "" {
+		millis, err := strconv.ParseFloat(text, 64)
+		if err != nil || millis < 0 {
+			return q, apierror.New(apierror.KindBadRequest, "%s: %q is not a number of milliseconds", h.HeaderNames.DeadlineMillis, text)
+		}
+		clientDeadline = started.Add(time.Duration(millis * float64(time.Millisecond)))
+	}
+	if clientDeadline.Before(q.deadline) {
+		q.deadline = clientDeadline
+	}
+	if h.mayOutlastDrain(q) {
+		return q, &apierror.Error{Kind: apierror.KindShuttingDown, Detail: "the request may take longer than the host's stop", RetryAfter: 2 * responseMargin}
+	}
+	if limit := snapshot.Config.Limits.MaxBodyBytes; limit > 0 && r.ContentLength > limit {
+		return q, apierror.New(apierror.KindTooLarge, "the body has %d bytes, at most %d are allowed", r.ContentLength, limit)
+	}
+	q.service = h.splitter.Pick(route, h.splitOffset)
+	if text := r.Header.Get(h.HeaderNames.KeyPosition); text != "" && snapshot.Config.Services[q.service].HasKeyOwners {
+		position, err := strconv.ParseUint(text, 10, 16)
+		if err != nil {
+			return q, apierror.New(apierror.KindBadRequest, "%s: %q is not a key position", h.HeaderNames.KeyPosition, text)
+		}
+		q.position = int(position)
+		h.Reports.CountKey(q.service, uint16(position))
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBodyBytes))
+	if err != nil {
+		return q, apierror.Wrap(apierror.KindCanceled, err, "the body could not be read")
+	}
+	q.upstream = exchange.Request{ID: q.id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: upstreamRequestHeaders(r.Header, &h.HeaderNames),
+		Body: body, ContentLength: r.ContentLength, FreshConnOnly: !route.Kind.Repeatable()}
+	if len(body) == maxBufferedBodyBytes {
+		q.upstream.RemainingBody = r.Body
+	} else {
+		q.upstream.ContentLength = int64(len(body))
+	}
+	if snapshot.BlockedFingerprints[string(h.fingerprint(q))] {
+		return q, apierror.New(apierror.KindQuarantined, "the request has crashed several servers")
+	}
+	work, responseBytes := h.costs.estimate(route)
+	q.expectedWork = work
+	waited := time.Duration(0)
+	if left := clientDeadline.Sub(started); clientDeadline != started.Add(route.Timeout) {
+		waited = h.costs.callerWaited(route, left)
+	}
+	q.placement = dispatch.Request{Service: q.service, Position: q.position, Priority: route.Priority, Repeatable: route.Kind.Repeatable(),
+		Zone: h.AvailabilityZone, ResponseBytes: responseBytes, Work: work, Salt: rand.Uint64(),
+		Target: h.Placer.At(started.Add(route.Target - waited)), PreviouslyRejected: waited > previouslyRejectedThreshold, Deadline: h.Placer.At(q.deadline.Add(-responseMargin))}
+	if q.position == dispatch.NoPosition {
+		q.placement.Exclude, q.heldOff = h.holdOffs.active(q.service, started, h.ServerPools.isReplaced)
+	}
+	h.RetryBudget.CountRequest(q.service, started)
+	return q, nil
+}
+
+// fingerprint identifies requests that look the same to a server.
+func (h *Handler) fingerprint(q *request) []byte {
+	f := quarantine.FingerprintOf("", q.upstream.Method, q.upstream.Host+q.upstream.Target, q.upstream.Body)
+	return f[:]
+}
