--- a/internal/placing/departure_test.go
+++ b/internal/placing/departure_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -110,17 +111,19 @@
 	d.Release("svc", id, dispatch.Result{})
 	assert.Assert(t, holdsFreeSlot(d))
 
-	host, dispatcher := net.Pipe()
-	defer dispatcher.Close()
-	c := newClient("a", nil, nil, newTable())
-	c.conn = newFrameConn(host)
-	defer c.conn.close()
-	for range perHost {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
-		_, _, decided := c.acquire(ctx, 0, dispatch.Request{Service: "svc", Deadline: dispatch.Instant(time.Second)})
-		cancel()
-		assert.Assert(t, decided)
-	}
-	assert.Equal(t, len(c.pending), 0)
-	assert.Equal(t, len(c.conn.pending.Canceled), perHost)
+	synctest.Test(t, func(t *testing.T) {
+		host, dispatcher := net.Pipe()
+		defer dispatcher.Close()
+		c := newClient("a", nil, nil, newTable())
+		c.conn = newFrameConn(host)
+		defer c.conn.close()
+		for range perHost {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+			_, _, decided := c.acquire(ctx, 0, dispatch.Request{Service: "svc", Deadline: dispatch.Instant(time.Second)})
+			cancel()
+			assert.Assert(t, decided)
+		}
+		assert.Equal(t, len(c.pending), 0)
+		assert.Equal(t, len(c.conn.pending.Canceled), perHost)
+	})
 }
