Keep the connection if the caller is found to have left before the write

Found while reading the change again. The look at the caller right before the write ends its context, whose watch then closed the connection, so that an idle one was lost for nothing. The look now comes before the watch. The test of requests whose context has ended covers it.

--- a/internal/exchange/departure_test.go
+++ b/internal/exchange/departure_test.go
@@ -37,6 +37,10 @@
 	result := do(ended, "ended")
 	assert.Equal(t, result.Outcome, Canceled)
 	assert.Assert(t, !result.Sent)
+	departing, leave := context.WithCancel(context.Background())
+	result = p.Do(departing, &Request{ID: "left", Method: "GET", Target: "/", Host: "a", Deadline: time.Now().Add(5 * time.Second),
+		Unwanted: func() bool { leave(); return true }})
+	assert.Equal(t, result.Outcome, Canceled)
 	assert.Equal(t, do(context.Background(), "last").Outcome, Answered)
 	assert.Equal(t, <-requests+" "+<-requests, "first last")
 	assert.Equal(t, <-conns, <-conns, "the idle connection was closed")
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -143,6 +143,11 @@
 
 // roundTrip sends the request on a connection and reads the response.
 func (p *Pool) roundTrip(ctx context.Context, c *conn, r *Request) Result {
+	// Before ctx is watched: Unwanted may end it, which would close the connection.
+	if r.Unwanted != nil && r.Unwanted() {
+		p.putBack(c)
+		return Result{Outcome: Canceled, Err: context.Canceled}
+	}
 	if err := c.SetDeadline(r.Deadline); err != nil {
 		c.discard()
 		return Result{Outcome: NotSent, Err: err}
@@ -150,14 +155,6 @@
 	// A canceled context closes the connection, which ends the exchange here and the
 	// work at the server without waiting for this goroutine.
 	stop := context.AfterFunc(ctx, c.discard)
-	if r.Unwanted != nil && r.Unwanted() {
-		if stop() && c.SetDeadline(time.Time{}) == nil {
-			p.putBack(c)
-		} else {
-			c.discard()
-		}
-		return Result{Outcome: Canceled, Err: context.Canceled}
-	}
 	result := p.exchange(ctx, c, r, stop)
 	if result.RemainingBody == nil {
 		stop()
