State the end of a server's connection to hosts that are cut off

Cause: a response without a length ends with its connection. A connection by way of a peer has two ends, and if the peer's process is killed or stops, its kernel ends them as regularly as a server does. The asking host took that end for the server's.

Change: the peer frames the server's bytes as HTTP chunks and writes the last chunk only after the server's connection has ended regularly. Any other end is an error that names the peer. The request for a detour asks for the framing and the confirmation grants it: a peer of an older build proves no end, so a response without a length by way of it is no success, and is not repeated unless it may be; a host of an older build sees a reset if a new peer is killed, because the peer's socket lingers for 0 s until the server's end.

Why it works: the statement is in the bytes that the peer's process writes, after it has read the server's end. A process that has ended can't write it.

--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -175,7 +175,8 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	if err := requestDetour(c, peer, address); err != nil {
+	framed, err := requestDetour(c, peer, address)
+	if err != nil {
 		stop()
 		_ = c.Close() // unused
 		return nil, err
@@ -184,28 +185,32 @@
 		_ = c.Close() // its deadline has passed
 		return nil, ctx.Err()
 	}
-	return c, nil
+	if framed {
+		return newFramedConn(c), nil
+	}
+	return &unframedConn{c}, nil
 }
 
 // requestDetour asks the peer at the other end to connect to a server. After it has
-// returned nil, the connection carries the bytes of that server.
-func requestDetour(c net.Conn, peer, address string) error {
+// returned nil, the connection carries the bytes of that server, in chunks if framed
+// is true.
+func requestDetour(c net.Conn, peer, address string) (framed bool, err error) {
 	request := &http.Request{Method: http.MethodGet, Host: peer, URL: &url.URL{Path: Path, RawQuery: url.Values{serverParameter: {address}}.Encode()},
-		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {protocol}}}
+		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {protocol}, framingHeader: {chunkedFraming}}}
 	if err := request.Write(c); err != nil {
-		return err
+		return false, err
 	}
 	reader := bufio.NewReader(c)
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusSwitchingProtocols {
-		return &refusedError{status: response.StatusCode, cutOff: response.StatusCode == http.StatusServiceUnavailable}
+		return false, &refusedError{status: response.StatusCode, cutOff: response.StatusCode == http.StatusServiceUnavailable}
 	}
 	if reader.Buffered() > 0 {
-		return errors.New("the server sent bytes before any request")
+		return false, errors.New("the server sent bytes before any request")
 	}
-	return nil
+	return response.Header.Get(framingHeader) == chunkedFraming, nil
 }
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -21,6 +21,10 @@
 const (
 	serverParameter = "server"
 	protocol        = "cassiasill-detour"
+	// framingHeader names in the request and in the response how the server's bytes
+	// are framed. Older builds neither send nor understand it.
+	framingHeader  = "Cassiasill-Framing"
+	chunkedFraming = "chunked"
 )
 
 // Server opens connections to servers for hosts that are cut off from them.
@@ -72,44 +76,54 @@
 		return
 	}
 	s.onDetour()
-	if err := confirm(host, buffered.Reader); err != nil {
+	framed := r.Header.Get(framingHeader) == chunkedFraming
+	if err := confirm(host, buffered.Reader, framed); err != nil {
 		s.log.Debug("detour: connection not confirmed", zap.Error(err))
 		reset(host)
 		reset(server)
 		return
 	}
-	copyBoth(host, server)
+	copyBoth(host, server, newHostWriter(host, framed))
 }
 
 // confirm tells the host that its connection now leads to the server.
-func confirm(host net.Conn, reader *bufio.Reader) error {
+func confirm(host net.Conn, reader *bufio.Reader, framed bool) error {
 	if reader.Buffered() > 0 {
 		return errors.New("the host sent bytes before the connection was confirmed")
 	}
 	if err := host.SetDeadline(time.Time{}); err != nil {
 		return err
 	}
-	_, err := io.WriteString(host, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n")
+	response := "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n"
+	if framed {
+		response += framingHeader + ": " + chunkedFraming + "\r\n"
+	}
+	_, err := io.WriteString(host, response+"\r\n")
 	return err
 }
 
 // copyBoth copies bytes in both directions. A connection that ends regularly is
 // closed at the other side too, and one that breaks is reset there: a response
-// without a length is complete only if its connection ends regularly.
-func copyBoth(host, server net.Conn) {
+// without a length is complete only if its connection ends regularly. Requests need
+// no end mark, since HTTP frames the body of each.
+func copyBoth(host, server net.Conn, toHost hostWriter) {
 	var group conc.WaitGroup
-	group.Go(func() { copyUntilEnd(server, host) })
-	group.Go(func() { copyUntilEnd(host, server) })
+	group.Go(func() { copyUntilEnd(server, host, server, func() error { return nil }) })
+	group.Go(func() { copyUntilEnd(host, server, toHost, toHost.markEnd) })
 	group.Wait()
 }
 
 // copyBufferBytes is the buffer of one direction.
 const copyBufferBytes = 16 << 10
 
-// copyUntilEnd copies from source to target and then closes both.
-func copyUntilEnd(target, source net.Conn) {
+// copyUntilEnd copies from source to target by way of writer. If source ends
+// regularly it calls markEnd. Then it closes both.
+func copyUntilEnd(target, source net.Conn, writer io.Writer, markEnd func() error) {
 	// The wrappers hide methods with which io would use buffers of its own.
-	_, err := io.CopyBuffer(struct{ io.Writer }{target}, struct{ io.Reader }{source}, make([]byte, copyBufferBytes))
+	_, err := io.CopyBuffer(struct{ io.Writer }{writer}, struct{ io.Reader }{source}, make([]byte, copyBufferBytes))
+	if err == nil {
+		err = markEnd()
+	}
 	if err != nil {
 		reset(target)
 		reset(source)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -217,6 +217,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if framed, ok := c.Conn.(interface{ Buffered() int }); ok && framed.Buffered() > 0 {
+		return false
+	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
