Reset an HTTP/1.0 caller's connection if the host is killed within a body

Callers that speak HTTP/1.0 saw 200 and a part of a large body without a length, with a regular end, if the host was killed while it answered.

HTTP/1.0 has no chunks, so such a body ends with the connection, and the kernel ends the connections of a killed process regularly. An abort by the host itself was reset already.

Change: until all of the body is written, the caller's connection lingers for 0 s, so that any end of it is a reset, also that of a killed process. After the last byte is flushed it ends regularly again.

HTTP/1.1 callers see a body without a last chunk before and after.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/cassiasill/cassiasill/internal/network"
 )
 
 // callerCheckInterval is how often the connection of a caller is examined while its
@@ -17,14 +18,6 @@
 // request body is not read to its end.
 const callerCheckInterval = 250 * time.Millisecond
 
-// connContextKey is the context key of a caller's connection.
-type connContextKey struct{}
-
-// contextWithConn is the ConnContext of the HTTP server.
-func contextWithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connContextKey{}, c)
-}
-
 // caller is the client that waits for the response to one request.
 type caller struct {
 	ctx    context.Context // ends when the caller leaves
@@ -40,13 +33,8 @@
 // newCaller returns the caller of the request with the given context. Its cancel
 // function must be called when the request has ended.
 func newCaller(ctx context.Context, now time.Time) *caller {
-	c := &caller{since: now}
+	c := &caller{since: now, conn: network.CallerConn(ctx)}
 	c.ctx, c.cancel = context.WithCancel(ctx)
-	if sc, ok := ctx.Value(connContextKey{}).(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			c.conn = raw
-		}
-	}
 	return c
 }
 
--- a/internal/entry/departure_test.go
+++ b/internal/entry/departure_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/cassiasill/cassiasill/internal/network"
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
 )
 
@@ -211,7 +212,7 @@
 			t.Parallel()
 			p := newTestHost(t, respondOK)
 			frontend := httptest.NewUnstartedServer(p.handler)
-			frontend.Config.ConnContext = contextWithConn
+			frontend.Config.ConnContext = network.ContextWithConn
 			t.Cleanup(frontend.Close)
 			p.url = frontend.Listener.Addr().String()
 			for i := range 20 {
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -20,6 +20,7 @@
 	"github.com/cassiasill/cassiasill/internal/control"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/network"
 	"github.com/cassiasill/cassiasill/internal/placing"
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/registry"
@@ -98,7 +99,7 @@
 		Placer: placing.NewPlacer("", exchange.Dial, local, central, limits), ServerPools: pools, RetryBudget: budget, RateLimits: limits, Metrics: instruments, Log: zap.New(core)})
 	p.handler = handler
 	frontend := httptest.NewUnstartedServer(handler)
-	frontend.Config.ConnContext = contextWithConn
+	frontend.Config.ConnContext = network.ContextWithConn
 	frontend.Start()
 	t.Cleanup(frontend.Close)
 	p.url = frontend.URL
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -30,7 +30,10 @@
 	attemptedServers []string
 	expectedWork     time.Duration
 	caller           *caller
-	stage            stage
+	// lacksChunks is true if the caller's version of HTTP has no chunks, so that a body
+	// without a length ends with the connection.
+	lacksChunks bool
+	stage       stage
 	// heldOff is when the first server that wants no request yet will take one.
 	heldOff time.Duration
 }
@@ -48,7 +51,7 @@
 // position and placement. On a failure it still returns the request, for the log.
 func (h *Handler) newRequest(r *http.Request, snapshot *control.Snapshot, route *routes.Route, c *caller) (*request, *apierror.Error) {
 	started := c.since
-	q := &request{id: r.Header.Get(h.HeaderNames.RequestID), started: started, route: route, position: dispatch.NoPosition, caller: c, stage: stageReading}
+	q := &request{id: r.Header.Get(h.HeaderNames.RequestID), started: started, route: route, position: dispatch.NoPosition, caller: c, lacksChunks: !r.ProtoAtLeast(1, 1), stage: stageReading}
 	// A host that was frozen or is busy reads requests of callers that left long ago.
 	if c.hasLeft() {
 		return q, apierror.New(apierror.KindCanceled, "the caller left before its request was read")
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -14,6 +14,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/apierror"
 	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/network"
 )
 
 // writeResponse sends a server's response to the caller.
@@ -29,9 +30,15 @@
 	if length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	copyBody := h.copyBody
+	if length < 0 && q.lacksChunks {
+		copyBody = func(ctx context.Context, w http.ResponseWriter, result exchange.Result) error {
+			return h.copyUnframedBody(ctx, w, q.caller, result)
+		}
+	}
 	w.WriteHeader(result.Status)
 	q.stage = stageResponding
-	if err := h.copyBody(q.caller.ctx, w, result); err != nil {
+	if err := copyBody(q.caller.ctx, w, result); err != nil {
 		if q.caller.hasLeft() {
 			h.resetConnection(w)
 			h.endDeparted(q)
@@ -81,6 +88,23 @@
 	return err
 }
 
+// copyUnframedBody is copyBody for a body that ends with the caller's connection. Until
+// all of it is written, any end of the connection is a reset: the kernel closes the
+// connections of a process that is killed, and a regular end would look like the end of
+// the body.
+func (h *Handler) copyUnframedBody(ctx context.Context, w http.ResponseWriter, c *caller, result exchange.Result) error {
+	if err := network.SetResetOnClose(c.conn, true); err != nil {
+		return err
+	}
+	if err := h.copyBody(ctx, w, result); err != nil {
+		return err
+	}
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		return err
+	}
+	return network.SetResetOnClose(c.conn, false)
+}
+
 // closeRemainingBody closes the unread part of a large response.
 func (h *Handler) closeRemainingBody(result exchange.Result) {
 	if err := result.RemainingBody.Close(); err != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/network"
 )
 
 // Limits of callers' connections.
@@ -43,7 +45,7 @@
 func NewServer(handler *Handler) *Server {
 	s := &Server{handler: handler, log: handler.Log, idleSince: make(map[net.Conn]time.Time)}
 	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.trackIdle, ConnContext: contextWithConn, ErrorLog: zap.NewStdLog(handler.Log)}
+		ConnState: s.trackIdle, ConnContext: network.ContextWithConn, ErrorLog: zap.NewStdLog(handler.Log)}
 	return s
 }
 
--- /dev/null
+++ b/internal/network/callerconn.go
@@ -0,0 +1,47 @@
+package network
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// connContextKey is the context key of a caller's connection.
+type connContextKey struct{}
+
+// ContextWithConn is the ConnContext of an HTTP server whose handlers use CallerConn.
+func ContextWithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connContextKey{}, c)
+}
+
+// CallerConn returns the connection of the caller whose request has the context, or nil
+// if it is none of the operating system's.
+func CallerConn(ctx context.Context) syscall.RawConn {
+	sc, ok := ctx.Value(connContextKey{}).(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// SetResetOnClose sets whether a connection is reset when it is closed, also at the end
+// of this process, or ends regularly. A nil connection is left alone.
+func SetResetOnClose(c syscall.RawConn, reset bool) error {
+	if c == nil {
+		return nil
+	}
+	linger := &unix.Linger{}
+	if reset {
+		linger.Onoff = 1
+	}
+	var setErr error
+	err := c.Control(func(fd uintptr) { setErr = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, linger) })
+	return errors.Join(err, setErr)
+}
