Reset an HTTP/1.0 caller's connection if a body breaks off in the proxy

Callers of `cassiasill serve` that speak HTTP/1.0 saw 200 and a part of a large body without a length, with a regular end, if the server broke off or the host was killed.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -21,6 +21,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/admission"
 	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/network"
 	"github.com/cassiasill/cassiasill/internal/retry"
 	"github.com/cassiasill/cassiasill/internal/topology"
 )
@@ -100,6 +101,7 @@
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: 2 * h.limits.MaxHeaderBytes, ErrorLog: zap.NewStdLog(h.log.Named("proxy")),
+		ConnContext: network.ContextWithConn,
 	}
 }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -13,6 +13,7 @@
 	"github.com/cassiasill/cassiasill/internal/admission"
 	"github.com/cassiasill/cassiasill/internal/apierror"
 	"github.com/cassiasill/cassiasill/internal/idempotency"
+	"github.com/cassiasill/cassiasill/internal/network"
 )
 
 // resumeRange is the missing range of an interrupted response, in byte positions
@@ -144,6 +145,16 @@
 	stall := time.AfterFunc(stallTime, func() { q.cancel(errStalled) })
 	defer stall.Stop()
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }() // not supported outside of a server
+	// An HTTP/1.0 caller takes the end of the connection for the end of a body without a
+	// length. Until all of it is written the connection can only be reset.
+	endsWithConn := a.length < 0 && !q.r.ProtoAtLeast(1, 1)
+	callerConn := network.CallerConn(q.r.Context())
+	if endsWithConn {
+		if err := network.SetResetOnClose(callerConn, true); err != nil {
+			q.finishResponse(a, admission.OutcomeCanceled)
+			return canceledError(err)
+		}
+	}
 	var p *resumeRange
 	if q.r.Method == http.MethodGet && q.route.Repeatable {
 		p = resumeRangeOf(a.response)
@@ -161,7 +172,10 @@
 		switch {
 		case err == io.EOF:
 			q.finishResponse(a, admission.OutcomeOK)
-			return nil
+			if !endsWithConn {
+				return nil
+			}
+			return canceledError(errors.Join(control.Flush(), network.SetResetOnClose(callerConn, false)))
 		case err != nil && a.exchange.tooLong():
 			q.finishResponse(a, admission.OutcomeFailed)
 			return invalidResponse("%w", errTooLong).callerError(a.upstream.server.Name)
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -1,12 +1,15 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -169,3 +172,34 @@
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+// Guards against half of a body that looks complete to an HTTP/1.0 caller, which knows
+// no chunks: if the server breaks off, it must see a reset.
+func TestHTTP10CallerSeesAResetWhenABodyBreaksOff(t *testing.T) {
+	for _, whole := range []bool{true, false} {
+		up := newFakeUpstream(t, func(c *call) {
+			if !c.read() {
+				return
+			}
+			_, _ = fmt.Fprintf(c.conn, "HTTP/1.1 200 OK\r\nCassiasill-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
+				c.r.Header.Get("Cassiasill-Request-Id"), len(document), document)
+			if whole {
+				_, _ = io.WriteString(c.conn, "0\r\n\r\n")
+			}
+			_ = c.conn.Close()
+		})
+		h := newHarness(t, nil, up)
+		c, err := net.Dial("tcp", h.server.Listener.Addr().String())
+		assert.NilError(t, err)
+		defer c.Close()
+		_, err = io.WriteString(c, "GET /free/doc HTTP/1.0\r\nHost: x\r\n\r\n")
+		assert.NilError(t, err)
+		data, err := io.ReadAll(c)
+		if whole {
+			assert.NilError(t, err)
+			assert.Assert(t, strings.HasSuffix(string(data), document))
+		} else {
+			assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%d bytes, %v", len(data), err)
+		}
+	}
+}
