Send grants and releases only to the server that they are meant for

Cause: an address was taken for a name. A server ended, its address went to a server of another keyed service, and while its entry still stood the leader sent its grants and releases there. The 200 of whoever had the address counted as that of the listed server.

Evidence: the record of the case.

Change: each grant and release names its server. Who is not proven is given nothing and frees nothing: the range counts as held until the last grant that can have arrived has run out.

Why it works: the proof and the call run over one connection, which leads to one process; what that process would do with a call for another server is known before the first call that matters.

--- a/internal/control/fake_grants_test.go
+++ b/internal/control/fake_grants_test.go
@@ -37,27 +37,44 @@
 	return time.Duration(2+o.cluster.delayRandom.IntN(10)) * time.Second, o.cluster.delayRandom.Float64() < o.cluster.delayedCallRate
 }
 
-func (o *fakeGrantClient) OpenSession(address string) Session {
-	o.cluster.mu.Lock()
-	defer o.cluster.mu.Unlock()
-	o.cluster.sessions++
-	o.cluster.sessionIncarnations[o.cluster.sessions] = 0 // set to an incarnation by the first grant
-	return o.cluster.sessions
+// check returns an error if the server is not the one that a call is meant for.
+func (c *cluster) check(s *fakeServer, meant GrantServer) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ignoresIdentity || s.id == meant.ID {
+		return nil
+	}
+	c.misdirected++
+	return &shards.GrantError{NotSent: true, Misdirected: true, Err: fmt.Errorf("server %s is at %s", s.id, s.address)}
 }
 
-func (o *fakeGrantClient) Grant(ctx context.Context, address string, session Session, g shards.Grant) error {
-	s, err := o.server(ctx, address)
+func (o *fakeGrantClient) OpenSession(server GrantServer) Session {
+	return &fakeSession{client: o, server: server}
+}
+
+// fakeSession is a connection to one incarnation of a server. One goroutine uses it.
+type fakeSession struct {
+	client      *fakeGrantClient
+	server      GrantServer
+	incarnation int64 // at the other end; 0 before the first grant
+	ended       bool
+}
+
+func (f *fakeSession) Close() {}
+
+func (f *fakeSession) Grant(ctx context.Context, g shards.Grant) error {
+	o := f.client
+	s, err := o.server(ctx, f.server.Address)
 	if err != nil {
 		return err
 	}
-	o.cluster.mu.Lock()
-	sessionIncarnation := o.cluster.sessionIncarnations[session]
-	if sessionIncarnation == 0 {
-		sessionIncarnation = s.incarnation
-		o.cluster.sessionIncarnations[session] = sessionIncarnation
+	if err := o.cluster.check(s, f.server); err != nil {
+		return err
 	}
-	o.cluster.mu.Unlock()
-	if sessionIncarnation != s.incarnation {
+	if f.incarnation == 0 {
+		f.incarnation = s.incarnation
+	}
+	if f.ended || f.incarnation != s.incarnation {
 		return &shards.GrantError{NotSent: true, SessionEnded: true, Err: fmt.Errorf("the connection is closed")}
 	}
 	arrival, incarnation := time.Now(), s.incarnation
@@ -69,7 +86,15 @@
 		<-ctx.Done()
 		return &shards.GrantError{Err: ctx.Err()}
 	}
-	return o.cluster.applyGrant(s, incarnation, g, arrival)
+	err = o.cluster.applyGrant(s, incarnation, g, arrival)
+	o.cluster.mu.Lock()
+	defer o.cluster.mu.Unlock()
+	if o.cluster.closingRate > 0 && o.cluster.delayRandom.Float64() < o.cluster.closingRate {
+		if f.ended = !o.cluster.redials; o.cluster.redials {
+			f.incarnation = 0
+		}
+	}
+	return err
 }
 
 // applyGrant applies a grant at a server. It records an error if another server
@@ -92,30 +117,34 @@
 	if until.Before(time.Now()) {
 		return nil
 	}
+	history := c.historyOf(s.service)
 	for _, p := range sampledPositionsIn(g.From, g.To) {
 		for _, other := range c.servers {
-			if other != s && other.up && other.grants[p].until.After(time.Now()) {
+			if other != s && other.service == s.service && other.up && other.grants[p].until.After(time.Now()) {
 				c.errors = append(c.errors, fmt.Sprintf("%s: position %d of %s given to %s", time.Since(c.startedAt), p, other.id, s.id))
 			}
 		}
-		if incarnation := fmt.Sprintf("%s/%d", s.id, s.incarnation); c.holders[p] != incarnation {
-			if g.Token <= c.highestTokens[p] {
-				c.errors = append(c.errors, fmt.Sprintf("%s: position %d: token %d for %s after %d for %s", time.Since(c.startedAt), p, g.Token, incarnation, c.highestTokens[p], c.holders[p]))
+		if incarnation := fmt.Sprintf("%s/%d", s.id, s.incarnation); history.holders[p] != incarnation {
+			if g.Token <= history.highestTokens[p] {
+				c.errors = append(c.errors, fmt.Sprintf("%s: position %d: token %d for %s after %d for %s", time.Since(c.startedAt), p, g.Token, incarnation, history.highestTokens[p], history.holders[p]))
 			}
-			c.holders[p] = incarnation
+			history.holders[p] = incarnation
 		}
-		c.highestTokens[p] = max(c.highestTokens[p], g.Token)
+		history.highestTokens[p] = max(history.highestTokens[p], g.Token)
 		s.highestTokens[p] = g.Token
 		s.grants[p].token, s.grants[p].until = g.Token, until
 	}
 	return nil
 }
 
-func (o *fakeGrantClient) Release(ctx context.Context, address string, from, to uint16, token int64) (string, error) {
-	s, err := o.server(ctx, address)
+func (o *fakeGrantClient) Release(ctx context.Context, server GrantServer, from, to uint16, token int64) (string, error) {
+	s, err := o.server(ctx, server.Address)
 	if err != nil {
 		return "", err
 	}
+	if err := o.cluster.check(s, server); err != nil {
+		return "", err
+	}
 	apply := func() {
 		o.cluster.mu.Lock()
 		defer o.cluster.mu.Unlock()
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -1,13 +1,16 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -41,6 +44,7 @@
 // fakeServer holds granted positions as a server of the platform does.
 type fakeServer struct {
 	id, address string
+	service     string
 	incarnation int64
 	up          bool
 	grants      [sampledPositions]struct {
@@ -61,21 +65,45 @@
 	copies         []*memory.Copy // of the store, used by the fault schedule
 	emptyCopy      *memory.Copy   // from before the hosts' first write
 
-	mu                  sync.Mutex
-	servers             map[string]*fakeServer // by address
-	hosts               map[string]*testHost   // by address
-	blockedLinks        map[[2]string]bool     // from, to
-	delayedCallRate     float64
-	highestTokens       [sampledPositions]int64 // highest token under which each position was ever held
-	holders             [sampledPositions]string
-	errors              []string
-	rejectedGrants      int // grants whose token was too low
-	group               conc.WaitGroup
-	stop                context.CancelFunc
-	ctx                 context.Context
-	lastIncarnation     int64
-	sessions            Session
-	sessionIncarnations map[Session]int64 // incarnation at the other end
+	mu              sync.Mutex
+	servers         map[string]*fakeServer // by address
+	hosts           map[string]*testHost   // by address
+	blockedLinks    map[[2]string]bool     // from, to
+	delayedCallRate float64
+	closingRate     float64                     // of grants whose response closes the connection
+	histories       map[string]*positionHistory // by service
+	lingering       []lingeringEntry
+	errors          []string
+	rejectedGrants  int // grants whose token was too low
+	misdirected     int // grants and releases withheld from another server
+	group           conc.WaitGroup
+	stop            context.CancelFunc
+	ctx             context.Context
+	lastIncarnation int64
+	// ignoresIdentity makes the grant clients of all hosts send grants and releases to
+	// whoever has the address, and redials makes their sessions go on on another
+	// connection. Tests set them to check that violations are detected.
+	ignoresIdentity, redials bool
+}
+
+// positionHistory is who held the positions of one service.
+type positionHistory struct {
+	highestTokens [sampledPositions]int64 // highest token under which each position was ever held
+	holders       [sampledPositions]string
+}
+
+// historyOf returns the history of a service. The caller holds mu.
+func (c *cluster) historyOf(service string) *positionHistory {
+	if c.histories[service] == nil {
+		c.histories[service] = &positionHistory{}
+	}
+	return c.histories[service]
+}
+
+// lingeringEntry is the entry of a server that has ended without a word.
+type lingeringEntry struct {
+	id    string
+	until time.Time
 }
 
 type testHost struct {
@@ -87,7 +115,7 @@
 
 func newCluster(t *testing.T, hosts, servers int, seed uint64, options func(*Node)) *cluster {
 	c := &cluster{t: t, store: memory.New(), scheduleRandom: rand.New(rand.NewPCG(seed, 1)), delayRandom: rand.New(rand.NewPCG(seed, 2)), startedAt: time.Now(), configure: options,
-		servers: make(map[string]*fakeServer), hosts: make(map[string]*testHost), blockedLinks: make(map[[2]string]bool), sessionIncarnations: make(map[Session]int64)}
+		servers: make(map[string]*fakeServer), hosts: make(map[string]*testHost), blockedLinks: make(map[[2]string]bool), histories: make(map[string]*positionHistory)}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.putEntry("config", "1")
 	for i := range servers {
@@ -114,29 +142,74 @@
 		c.mu.Lock()
 		entries := make(map[string]*fakeServer)
 		for _, s := range c.servers {
-			entries["servers/"+s.id] = &fakeServer{id: s.id, address: s.address, incarnation: s.incarnation, up: s.up}
+			entries["servers/"+s.id] = &fakeServer{id: s.id, service: s.service, address: s.address, incarnation: s.incarnation, up: s.up}
 		}
+		c.lingering = slices.DeleteFunc(c.lingering, func(e lingeringEntry) bool {
+			expired := !time.Now().Before(e.until)
+			if expired && entries["servers/"+e.id] == nil {
+				entries["servers/"+e.id] = &fakeServer{id: e.id}
+			}
+			return expired
+		})
 		c.mu.Unlock()
 		for key, s := range entries {
 			if s.up {
-				value, _ := json.Marshal(map[string]any{"address": s.address, "born": s.incarnation})
+				value, _ := json.Marshal(map[string]any{"service": s.service, "address": s.address, "born": s.incarnation})
 				c.putEntry(key, string(value))
 			} else {
 				_, _ = c.store.Txn(context.Background(), nil, []store.Op{store.Delete(key)})
 			}
 		}
-		time.Sleep(870 * time.Millisecond)
+		time.Sleep(heartbeat)
 	}
 }
 
+// heartbeat is how often servers write their entries.
+const heartbeat = 870 * time.Millisecond
+
 func (c *cluster) startServer(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.startServerAt("addr-"+id, id, firstService)
+}
+
+// Services of a cluster. The second one has servers only after reuseAddress.
+const (
+	firstService  = "svc"
+	secondService = "svc2"
+)
+
+// startServerAt starts a server, in place of the one that had the address. The caller
+// holds mu.
+func (c *cluster) startServerAt(address, id, service string) {
 	c.lastIncarnation++
-	if old := c.servers["addr-"+id]; old != nil {
+	if old := c.servers[address]; old != nil {
 		old.up = false
+		if old.id != id {
+			c.lingering = append(c.lingering, lingeringEntry{old.id, time.Now()})
+		}
+	}
+	c.servers[address] = &fakeServer{id: id, service: service, address: address, incarnation: c.lastIncarnation, up: true}
+}
+
+// reuseAddress ends a server without a word. Its address goes to a new server of the
+// other service, while its entry stays for three heartbeats.
+func (c *cluster) reuseAddress(id string) {
+	c.crashServer(id)
+	c.mu.Lock()
+	address := "addr-" + id
+	s := c.servers[address]
+	delete(c.servers, address)
+	c.lingering = append(c.lingering, lingeringEntry{s.id, time.Now().Add(3 * heartbeat)})
+	c.mu.Unlock()
+	time.Sleep(2 * time.Second)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	service := secondService
+	if s.service == secondService {
+		service = firstService
 	}
-	c.servers["addr-"+id] = &fakeServer{id: id, address: "addr-" + id, incarnation: c.lastIncarnation, up: true}
+	c.startServerAt(address, fmt.Sprintf("%s-%d", id, c.lastIncarnation+1), service)
 }
 
 func (c *cluster) startHost(name string) {
@@ -147,19 +220,24 @@
 		Store: &pollingStore{c.store.Client(name)}, GrantClient: &fakeGrantClient{c, name}, Reports: NewReports(),
 		Schema: Schema{ConfigKey: "config", ServersPrefix: "servers/",
 			DecodeConfig: func(value []byte, revision int64) (*routes.Config, error) {
-				version, err := strconv.ParseInt(string(value), 10, 64)
+				text, two := strings.CutSuffix(string(value), twoServices)
+				version, err := strconv.ParseInt(text, 10, 64)
 				if err != nil {
 					return nil, err
 				}
-				return routes.NewConfig(version, revision, []routes.Service{{Name: "svc", HasKeyOwners: true}}, routes.Limits{}, nil), nil
+				services := []routes.Service{{Name: firstService, HasKeyOwners: true}}
+				if two {
+					services = append(services, routes.Service{Name: secondService, HasKeyOwners: true})
+				}
+				return routes.NewConfig(version, revision, services, routes.Limits{}, nil), nil
 			},
 			DecodeServer: func(kv store.KeyValue) (registry.Server, error) {
 				var entry struct {
-					Address string
-					Born    int64
+					Service, Address string
+					Born             int64
 				}
 				err := json.Unmarshal(kv.Value, &entry)
-				return registry.Server{ID: kv.Key[len("servers/"):], Service: "svc", Address: entry.Address, Slots: 2, Incarnation: entry.Born}, err
+				return registry.Server{ID: kv.Key[len("servers/"):], Service: cmp.Or(entry.Service, firstService), Address: entry.Address, Slots: 2, Incarnation: entry.Born}, err
 			}},
 		PeerClient: &http.Client{Transport: &peerTransport{c, name}},
 		Clock:      func() boottime.Instant { return boottime.Instant(time.Since(c.startedAt)) + 1 },
@@ -186,23 +264,36 @@
 }
 
 // unservedPositions returns the number of sampled positions that no server
-// holds.
+// holds, of each service that has servers.
 func (c *cluster) unservedPositions() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	missing := 0
-	for p := range sampledPositions {
-		held := false
-		for _, s := range c.servers {
-			held = held || s.up && s.grants[p].until.After(time.Now())
+	unserved := map[string]map[int]bool{}
+	for _, s := range c.servers {
+		if unserved[s.service] == nil && (s.up || s.service == firstService) {
+			unserved[s.service] = make(map[int]bool)
+			for p := range sampledPositions {
+				unserved[s.service][p] = true
+			}
 		}
-		if !held {
-			missing++
+	}
+	missing := 0
+	for _, s := range c.servers {
+		for p, g := range s.grants {
+			if s.up && g.until.After(time.Now()) {
+				delete(unserved[s.service], p)
+			}
 		}
 	}
+	for _, positions := range unserved {
+		missing += len(positions)
+	}
 	return missing
 }
 
+// twoServices is the end of a configuration that names both services.
+const twoServices = " and two services"
+
 // peerTransport carries the requests of one host to other hosts.
 type peerTransport struct {
 	cluster *cluster
@@ -271,6 +362,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.servers["addr-"+id]
+	if s == nil {
+		return // between two servers at its address
+	}
 	s.up = false
 	s.grants = [sampledPositions]struct {
 		token int64
--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -18,6 +18,7 @@
 // holder is what the leader knows about one server and its grants.
 type holder struct {
 	incarnation int64
+	address     string
 	session     Session
 	// minToken is the lowest token that may be sent in the session. A lower
 	// token may have reached an earlier incarnation of the server, and each
@@ -92,15 +93,15 @@
 // requestRelease requests the release from the server until the server
 // acknowledges it or its grants have expired.
 func (m *assignmentManager) requestRelease(ctx context.Context, r shards.Range, release *pendingRelease) {
-	backoff := minFailureBackoff
+	backoff, warned := minFailureBackoff, false
 	for ctx.Err() == nil && m.leadership.node.Clock() < m.grantsExpireAt(release) {
-		address := m.leadership.addressOf(r.Owner)
-		if address == "" {
+		server := m.grantServer(r.Owner, m.leadership.addressOf(r.Owner))
+		if server.Address == "" {
 			m.leadership.node.sleep(ctx, minFailureBackoff)
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
-		handover, err := m.leadership.node.GrantClient.Release(callCtx, address, r.From, r.To, r.ReleaseToken)
+		handover, err := m.leadership.node.GrantClient.Release(callCtx, server, r.From, r.To, r.ReleaseToken)
 		cancel()
 		if err == nil {
 			m.mu.Lock()
@@ -109,6 +110,9 @@
 			m.leadership.wake()
 			return
 		}
+		if m.recordMisdirected(server, err, !warned) {
+			warned, backoff = true, misdirectedBackoff
+		}
 		m.log().Debug("shards: release not acknowledged", zap.String("server", r.Owner), zap.Error(err))
 		m.leadership.node.sleep(ctx, backoff)
 		backoff = min(2*backoff, maxFailureBackoff)
@@ -138,8 +142,8 @@
 	m.grantsDeferred = false
 	for _, id := range m.sortByLastAttempt(due) {
 		ranges, h := due[id], m.holders[id]
-		if h == nil || h.incarnation != servers[id].Incarnation {
-			h = &holder{incarnation: servers[id].Incarnation, session: m.leadership.node.GrantClient.OpenSession(servers[id].Address), minToken: m.adoptedVersion + 1, ackedAt: make(map[grantID]boottime.Instant), outdated: make(map[grantID]bool)}
+		if h == nil || h.incarnation != servers[id].Incarnation || h.address != servers[id].Address {
+			h = m.newHolder(servers[id], h)
 			m.holders[id] = h
 		}
 		ranges = slices.DeleteFunc(ranges, func(r shards.Range) bool {
@@ -162,9 +166,8 @@
 		// failures starve no range.
 		slices.SortStableFunc(ranges, func(a, b shards.Range) int { return cmp.Compare(h.ackedAt[grantIDOf(a)], h.ackedAt[grantIDOf(b)]) })
 		h.sending = true
-		address := servers[id].Address
 		m.leadership.group.Go(func() {
-			changed := m.sendGrants(ctx, id, h, address, ranges)
+			changed := m.sendGrants(ctx, id, h, ranges)
 			m.mu.Lock()
 			h.sending = false
 			changed = changed || m.grantsDeferred
@@ -194,18 +197,18 @@
 // assignment has to be evaluated again: after a failure or the first
 // acknowledgment of a range. A large service has too many renewals to evaluate
 // all ranges after each.
-func (m *assignmentManager) sendGrants(ctx context.Context, id string, h *holder, address string, ranges []shards.Range) (changed bool) {
+func (m *assignmentManager) sendGrants(ctx context.Context, id string, h *holder, ranges []shards.Range) (changed bool) {
 	for _, r := range ranges {
 		m.mu.Lock()
 		alreadyAcked := h.ackedAt[grantIDOf(r)] != 0
 		m.mu.Unlock()
-		if !m.beginGrant(h, r) {
+		if !m.beginGrant(id, h, r) {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, grantTimeout)
-		err := m.leadership.node.GrantClient.Grant(callCtx, address, h.session, shards.Grant{From: r.From, To: r.To, Token: r.Token, TTL: GrantTTL, Handover: r.Handover})
+		err := h.session.Grant(callCtx, shards.Grant{From: r.From, To: r.To, Token: r.Token, TTL: GrantTTL, Handover: r.Handover})
 		cancel()
-		if !m.recordGrantResult(id, h, address, r, err) {
+		if !m.recordGrantResult(id, h, r, err) {
 			return true
 		}
 		changed = changed || !alreadyAcked
@@ -216,12 +219,15 @@
 // beginGrant reports whether the range may still be renewed and, if so, records
 // the time of sending. Commits change the assignment under the same lock, so no
 // grant of a released range is sent after startReleases has read lastSent.
-func (m *assignmentManager) beginGrant(h *holder, r shards.Range) bool {
+func (m *assignmentManager) beginGrant(id string, h *holder, r shards.Range) bool {
 	if !m.leadership.mayRenew() {
 		return false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.holders[id] != h {
+		return false // the server is listed with another start or address by now
+	}
 	if current := m.assignment.FindRange(r.From); !current.Held() || grantIDOf(*current) != grantIDOf(r) {
 		return false
 	}
@@ -232,7 +238,7 @@
 
 // recordGrantResult records the result of a grant and reports whether to send
 // the server more grants.
-func (m *assignmentManager) recordGrantResult(id string, h *holder, address string, r shards.Range, err error) bool {
+func (m *assignmentManager) recordGrantResult(id string, h *holder, r shards.Range, err error) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var grantErr *shards.GrantError
@@ -254,8 +260,9 @@
 		h.lastSent = h.previousSent
 	}
 	if grantErr == nil || !grantErr.Refused {
-		m.reopenSession(h, address, grantErr != nil && grantErr.SessionEnded)
+		m.reopenSession(id, h, grantErr != nil && grantErr.SessionEnded)
 	}
+	m.recordMisdirected(m.grantServer(id, h.address), err, h.failingSince == 0)
 	h.backoff = min(max(2*h.backoff, minFailureBackoff), maxFailureBackoff)
 	if h.failingSince == 0 {
 		h.failingSince = m.leadership.node.Clock()
@@ -268,10 +275,51 @@
 // have been sent in it, nothing is sent to the server until its ranges have new
 // tokens. Otherwise no incarnation of the server can have seen the current
 // tokens, and they stay valid.
-func (m *assignmentManager) reopenSession(h *holder, address string, ended bool) {
+func (m *assignmentManager) reopenSession(id string, h *holder, ended bool) {
 	if h.sessionUsed || ended {
 		h.minToken = m.assignment.Version + 1
 	}
-	h.session, h.sessionUsed = m.leadership.node.GrantClient.OpenSession(address), false
+	h.session.Close()
+	h.session, h.sessionUsed = m.leadership.node.GrantClient.OpenSession(m.grantServer(id, h.address)), false
 	clear(h.ackedAt)
 }
+
+// newHolder returns what is known about a server whose first grant is to be sent, or
+// which is listed with another start or address than before.
+func (m *assignmentManager) newHolder(s registry.Server, former *holder) *holder {
+	h := &holder{incarnation: s.Incarnation, address: s.Address, session: m.leadership.node.GrantClient.OpenSession(m.grantServer(s.ID, s.Address)),
+		minToken: m.adoptedVersion + 1, ackedAt: make(map[grantID]boottime.Instant), outdated: make(map[grantID]bool)}
+	if former == nil {
+		return h
+	}
+	former.session.Close()
+	if former.incarnation == s.Incarnation {
+		// It may hold ranges under the current tokens, wherever they were sent to.
+		h.minToken, h.lastSent = m.assignment.Version+1, former.lastSent
+	}
+	return h
+}
+
+// grantServer returns a server of the service at an address, as the recipient of grants
+// and releases.
+func (m *assignmentManager) grantServer(id, address string) GrantServer {
+	server := GrantServer{ID: id, Address: address}
+	if config := m.leadership.node.config(); config != nil {
+		server.HealthPath = config.Services[m.service].HealthPath
+	}
+	return server
+}
+
+// recordMisdirected reports whether a call failed because who is at the server's address
+// is not proven to be that server. It counts such calls, and logs the first.
+func (m *assignmentManager) recordMisdirected(server GrantServer, err error, first bool) bool {
+	var grantErr *shards.GrantError
+	if !errors.As(err, &grantErr) || !grantErr.Misdirected && !grantErr.Unverified {
+		return false
+	}
+	m.leadership.node.misdirectedCalls.Add(1)
+	if first {
+		m.log().Warn("shards: the server at the address is not proven to be the listed one", zap.String("server", server.ID), zap.String("address", server.Address), zap.Bool("other_server", grantErr.Misdirected), zap.Error(err))
+	}
+	return true
+}
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -30,6 +30,9 @@
 	// from the servers that do.
 	minFailureBackoff = 100 * time.Millisecond
 	maxFailureBackoff = 400 * time.Millisecond
+	// misdirectedBackoff is the delay after a release that met another server at the
+	// address. Only a new entry of the server can change that.
+	misdirectedBackoff = time.Second
 	// maxOpeningSessions bounds the number of servers that are being sent their
 	// first grants. A new leader opens a connection to each server; opening all
 	// at once would delay every grant.
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -142,6 +143,10 @@
 	largestHostCapacity float64  // capacity of the largest live host; 0 if unknown
 	// successorWanted is true if the leader wants to give way to a larger host.
 	successorWanted bool
+
+	// misdirectedCalls counts the grants and releases that were withheld because who was
+	// at the server's address was not proven to be the server.
+	misdirectedCalls atomic.Int64
 }
 
 // leaderRecord is the value of the leader's key.
@@ -204,6 +209,10 @@
 	return nil
 }
 
+// MisdirectedCalls returns how many grants and releases this host has withheld because
+// who was at the server's address was not proven to be the server.
+func (n *Node) MisdirectedCalls() int64 { return n.misdirectedCalls.Load() }
+
 func (n *Node) currentLeadership() *leadership {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -36,21 +36,33 @@
 	DecodeServer  func(kv store.KeyValue) (registry.Server, error)
 }
 
-// Session identifies a connection to one incarnation of a server. It ends when
-// the connection breaks, so nothing sent in it can reach a later incarnation.
-type Session int64
+// GrantServer is a server that grants and releases are meant for.
+type GrantServer struct {
+	ID, Address string
+	// HealthPath is the path at which the servers of its service name themselves.
+	HealthPath string
+}
+
+// Session is a connection to one incarnation of a server. It ends when the
+// connection breaks, so nothing sent in it can reach a later incarnation.
+type Session interface {
+	// Grant grants or renews a range. If the session has ended, nothing is sent and
+	// the error's SessionEnded is set. Success means that the server itself has
+	// answered.
+	Grant(ctx context.Context, grant shards.Grant) error
+	// Close ends the session.
+	Close()
+}
 
 // GrantClient sends grants and releases of key ranges to servers. Errors are
 // *shards.GrantError.
 type GrantClient interface {
-	// OpenSession returns a new session with the server at the address.
-	OpenSession(address string) Session
-	// Grant grants or renews a range within a session. If the session has
-	// ended, nothing is sent and the error's SessionEnded is set.
-	Grant(ctx context.Context, address string, session Session, grant shards.Grant) error
-	// Release requests the release of a range from any incarnation of the
-	// server at the address.
-	Release(ctx context.Context, address string, from, to uint16, token int64) (handover string, err error)
+	// OpenSession returns a new session with the server.
+	OpenSession(server GrantServer) Session
+	// Release requests the release of a range from any incarnation of the server.
+	// Success means that one of its incarnations has answered, which also shows that
+	// every earlier one has ended.
+	Release(ctx context.Context, server GrantServer, from, to uint16, token int64) (handover string, err error)
 }
 
 // Keys in the store that this package writes.
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -162,7 +162,15 @@
 			return err
 		}
 	}
-	_, err := meter.Float64ObservableGauge("control.invalid_entry", metric.WithDescription("1 for each of the first server entries that this host can't decode."),
+	_, err := meter.Int64ObservableCounter("control.misdirected_calls", metric.WithDescription("Grants and releases withheld because who was at the server's address was not proven to be the server."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(node.MisdirectedCalls())
+			return nil
+		}))
+	if err != nil {
+		return err
+	}
+	_, err = meter.Float64ObservableGauge("control.invalid_entry", metric.WithDescription("1 for each of the first server entries that this host can't decode."),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
 			keys := node.InvalidEntries()
 			for _, key := range keys[:min(len(keys), maxNamedEntries)] {
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -64,6 +64,8 @@
 	Name string
 	// HasKeyOwners is true if each key position is owned by one server.
 	HasKeyOwners bool
+	// HealthPath is the path at which its servers name themselves.
+	HealthPath string
 }
 
 // Limits bounds the requests and connections of callers.
--- a/internal/shards/assignment.go
+++ b/internal/shards/assignment.go
@@ -37,9 +37,15 @@
 	// Refused is true if the server responded that it did not execute the call. If
 	// none of StaleToken, Refused and NotSent is set, the server may still execute it.
 	Refused bool
-	// NotSent is true if no connection could be opened, so that the server will not
-	// execute the call.
+	// NotSent is true if the server will not execute the call: no connection could be
+	// opened, or who is at its other end is not proven to be the server.
 	NotSent bool
+	// Misdirected is true if another server was found at the address. Nothing was
+	// granted or released.
+	Misdirected bool
+	// Unverified is true if nobody has proven to be the server. Nothing was granted or
+	// released.
+	Unverified bool
 	// SessionEnded is true if the session with the server has ended.
 	SessionEnded bool
 	Err          error
