End a session with its connection, also after Connection: close

After a response with Connection: close a session opened another connection, on the assumption that the server was still the same incarnation. Up to a second passes until the next renewal, in which it may start again.

Change: a session ends with its connection, and the ranges get new tokens. The end of a session that was used is no failure of the server. Sessions in which nothing was sent keep the tokens.

--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -259,8 +259,12 @@
 	if grantErr != nil && grantErr.NotSent {
 		h.lastSent = h.previousSent
 	}
+	sessionWasUsed := h.sessionUsed
 	if grantErr == nil || !grantErr.Refused {
-		m.reopenSession(id, h, grantErr != nil && grantErr.SessionEnded)
+		m.reopenSession(id, h)
+	}
+	if sessionWasUsed && grantErr != nil && grantErr.SessionEnded {
+		return false // no failure: a server may close its connections at any time
 	}
 	m.recordMisdirected(m.grantServer(id, h.address), err, h.failingSince == 0)
 	h.backoff = min(max(2*h.backoff, minFailureBackoff), maxFailureBackoff)
@@ -275,8 +279,8 @@
 // have been sent in it, nothing is sent to the server until its ranges have new
 // tokens. Otherwise no incarnation of the server can have seen the current
 // tokens, and they stay valid.
-func (m *assignmentManager) reopenSession(id string, h *holder, ended bool) {
-	if h.sessionUsed || ended {
+func (m *assignmentManager) reopenSession(id string, h *holder) {
+	if h.sessionUsed {
 		h.minToken = m.assignment.Version + 1
 	}
 	h.session.Close()
--- a/internal/control/schedule_test.go
+++ b/internal/control/schedule_test.go
@@ -90,7 +90,7 @@
 	}
 	c.mu.Lock()
 	clear(c.blockedLinks)
-	c.delayedCallRate = 0
+	c.delayedCallRate, c.closingRate = 0, 0
 	var down []string
 	for _, s := range c.servers {
 		if !s.up {
@@ -103,6 +103,89 @@
 	}
 }
 
+// runAddressSchedule is runSchedule with two services that are divided by key, whose
+// servers end, start again and leave their addresses to servers of the other service,
+// close connections after grants, and have their entries overwritten by others.
+func runAddressSchedule(t *testing.T, seed uint64, change func(*cluster)) (errors []string) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTwoServicesCluster(t, seed, change)
+		for time.Since(c.startedAt) < 45*time.Second {
+			if c.scheduleRandom.IntN(2) == 0 {
+				c.randomAddressFault()
+			} else {
+				c.randomFault()
+			}
+			time.Sleep(time.Duration(c.scheduleRandom.IntN(2000)) * time.Millisecond)
+		}
+		c.endFaults()
+		time.Sleep(20 * time.Second)
+		if missing := c.unservedPositions(); missing > 0 {
+			c.errors = append(c.errors, fmt.Sprintf("%d positions have no owner 20 s after the last fault", missing))
+		}
+		errors = c.close()
+	})
+	return errors
+}
+
+// randomAddressFault starts or ends one fault that concerns who has an address.
+func (c *cluster) randomAddressFault() {
+	name := fmt.Sprintf("s%d", c.scheduleRandom.IntN(5))
+	other := fmt.Sprintf("addr-t%d", c.scheduleRandom.IntN(4))
+	c.mu.Lock()
+	server := c.servers["addr-"+name]
+	c.mu.Unlock()
+	switch c.scheduleRandom.IntN(5) {
+	case 0:
+		c.reuseAddress(name)
+	case 1: // it starts again at once, before its entry says so
+		if server != nil {
+			c.mu.Lock()
+			c.startServerAt(server.address, server.id, server.service)
+			c.mu.Unlock()
+		}
+	case 2:
+		c.mu.Lock()
+		c.closingRate = []float64{0, 0.1, 0.5}[c.scheduleRandom.IntN(3)]
+		c.mu.Unlock()
+	case 3:
+		if server != nil {
+			c.putEntry("servers/"+server.id, `{"service":"`+server.service+`","address":"`+other+`","born":1}`)
+		}
+	case 4:
+		if server != nil {
+			c.putEntry("servers/"+server.id, `{"service":"unnamed","address":"`+other+`","born":`+fmt.Sprint(server.incarnation)+`}`)
+		}
+	}
+}
+
+// Guards against positions with two owners, and positions that stay without one, under
+// random faults that concern who has an address.
+func TestSchedulesWithReusedAddresses(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*schedules; seed++ {
+		errors := runAddressSchedule(t, seed, nil)
+		assert.Equal(t, len(errors), 0, "seed %d: %v", seed, errors)
+	}
+}
+
+// Checks that the schedules with reused addresses detect grant clients that take an
+// address or a connection for a server.
+func TestAddressSchedulesFindBrokenVariants(t *testing.T) {
+	variants := map[string]func(*cluster){
+		"sends to whoever has the address": func(c *cluster) { c.ignoresIdentity = true },
+		"opens another connection":         func(c *cluster) { c.redials = true },
+	}
+	for name, broken := range variants {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(60) {
+				if len(runAddressSchedule(t, seed, broken)) > 0 {
+					return
+				}
+			}
+			t.Error("no schedule detects the variant")
+		})
+	}
+}
+
 // Longer runs: go test ./internal/control -run TestRandomSchedules -schedules 2000 -seed 1000
 var (
 	schedules = flag.Uint64("schedules", 24, "number of random schedules")
