Keep a server whose entry names a service that nobody knows

Cause: an entry that can't be decoded leaves the server in place, one that can be decoded replaced it, also if its service is named by no configuration.

Change: an entry that takes a server from a named service to one that is not named counts as one that can't be decoded: a line in the log, a gauge, and the server stays until its next entry.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -108,13 +109,17 @@
 	}
 }
 
-// apply updates one entry. An entry that can't be decoded was written by somebody
-// else: it names no server, and it says nothing about the server whose entry was at
-// its key, which counts until its next entry or until the key is deleted.
+// apply updates one entry. An entry that can't be decoded, or that takes a server away
+// from its service for one that nobody names, was written by somebody else: it names no
+// server, and it says nothing about the server whose entry was at its key, which counts
+// until its next entry or until the key is deleted.
 func (r *serverReader) apply(n *Node, kv store.KeyValue) {
 	s, err := n.Schema.DecodeServer(kv)
+	former, kept := r.entries[kv.Key]
+	if err == nil && kept && n.namesService(former.Service) && !n.namesService(s.Service) {
+		err = fmt.Errorf("no configuration names service %q", s.Service)
+	}
 	if err != nil {
-		_, kept := r.entries[kv.Key]
 		n.recordInvalidEntry(kv.Key, kept, err)
 		return
 	}
@@ -122,6 +127,16 @@
 	r.entries[kv.Key] = s
 }
 
+// namesService reports whether the configuration names the service.
+func (n *Node) namesService(service string) bool {
+	config := n.config()
+	if config == nil {
+		return false
+	}
+	_, named := config.Services[service]
+	return named
+}
+
 // remove removes a deleted entry.
 func (r *serverReader) remove(n *Node, key string) {
 	n.removeInvalidEntry(key)
--- a/internal/control/identity_test.go
+++ b/internal/control/identity_test.go
@@ -123,3 +123,21 @@
 		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
 	})
 }
+
+// Guards against a server whose keys move because another writer leaves an entry with a
+// service that nobody names at its key, with the address of a server that confirms every
+// release (review/3).
+func TestEntryOfAnotherWriterFreesNoKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTwoServicesCluster(t, 500, nil)
+		before := c.leader().node.View().Load().Assignments[firstService].Version
+		for range 60 {
+			c.putEntry("servers/s1", `{"service":"unnamed","address":"addr-t1","born":1}`)
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, len(c.hostsWithout("s1")), 0, "%v", c.hostsWithout("s1"))
+			assert.Equal(t, c.unservedPositions(), 0)
+		}
+		assert.Equal(t, c.leader().node.View().Load().Assignments[firstService].Version, before, "keys have moved")
+		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
+	})
+}
