Keep servers away that left while a host could not reach the store

A server that had left got requests again, up to 2.4 s after its leaving was acknowledged (DRAIN), from hosts that had stopped using it seconds before.

Cause: a host that misses the store for a time keeps the servers of its own last read, and since when its reads fail. If it follows a leader meanwhile it learns from it who leaves. When it reads the store again, its own failed reads look like an outage of the store, in which entries lapse and come back within 2 s, so it keeps what is missing: all servers that have left since, and also at the hosts that ask it.

On a request reached i-52663c2d57 at 17.445 s, 2.4 s after the store had acknowledged its leaving. A trial that logs who learns and removes a server: all twelve hosts removed it at 15.047 s; at 17.2 s the four hosts that had been cut from the store from 2.5 to 11.5 s read it for the first time since, and listed it with five others that had left, until 17.72 s.

Change: when a tracker is seeded with the list of another host, that list replaces its servers, and its instant counts as one at which the store was reachable. Both were missing: servers were only added.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -44,9 +44,12 @@
 	n.readConfig(ctx)
 	// Starting from a newer list that another host has read saves a listing and
 	// keeps the measured speeds.
-	if snapshot := n.view.Load(); snapshot.Servers != nil && snapshot.ServersRevision > n.reader.revision {
+	snapshot := n.view.Load()
+	if snapshot.Servers != nil && snapshot.ServersRevision > n.reader.revision {
 		n.reader.seed(snapshot.Servers, snapshot.ServersRevision, n.Schema.ServersPrefix)
-		n.tracker.Seed(snapshot.Servers)
+		n.tracker.Seed(snapshot.Servers, snapshot.ServersConfirmedAt)
+	} else {
+		n.tracker.RecordStoreReachable(snapshot.ServersConfirmedAt)
 	}
 	return n.readServers(ctx)
 }
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -146,8 +146,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n := l.node
-	if servers := n.view.Load().Servers; servers != nil {
-		n.tracker.Seed(servers)
+	if snapshot := n.view.Load(); snapshot.Servers != nil {
+		n.tracker.Seed(snapshot.Servers, snapshot.ServersConfirmedAt)
 	}
 	// A list read by another host may still hold servers that were removed
 	// during an outage. Only a new listing shows which servers exist.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -218,10 +218,19 @@
 	}
 }
 
-// Seed adds the servers of a list from another Tracker, mainly for their measured
-// speeds. Later reads of this Tracker replace them.
-func (t *Tracker) Seed(list *List) {
-	for id, s := range list.Servers {
-		t.servers[id] = s
+// Seed replaces the servers by those of a list that another Tracker has computed from a
+// read at the given instant. What this Tracker has missed since its own last read does
+// not count: a server that is not in the list has left, and reads of this host that
+// failed before the instant were no outage of the store.
+func (t *Tracker) Seed(list *List, at boottime.Instant) {
+	for id, s := range t.servers {
+		if _, listed := list.Servers[id]; !listed {
+			t.removed[id] = s.Incarnation
+		}
+	}
+	t.servers = maps.Clone(list.Servers)
+	if t.servers == nil {
+		t.servers = make(map[string]Server)
 	}
+	t.RecordStoreReachable(at)
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -100,3 +100,33 @@
 	tracker.Observe([]Server{{ID: "again", Incarnation: 5}, {ID: "left", Incarnation: 1}}, at(7))
 	assert.Equal(t, serverCount(tracker.List()), 2)
 }
+
+// Guards against a server that left while a host could not reach the store and is in
+// use again there with the host's first read, because its own failed reads look like an
+// outage (DRAIN on aserrin-gw): another host has read the store meanwhile.
+func TestServerThatLeftDuringAHostsOwnCutStaysAway(t *testing.T) {
+	stays, left := Server{ID: "stays", Incarnation: 1}, Server{ID: "left", Incarnation: 1}
+	both := NewList(map[string]Server{"stays": stays, "left": left})
+	newTracker := func() *Tracker {
+		tracker := NewTracker()
+		tracker.Observe([]Server{stays, left}, at(0))
+		tracker.RecordReadFailure(at(2))
+		return tracker
+	}
+
+	tracker := newTracker() // another host has removed it
+	tracker.Seed(NewList(map[string]Server{"stays": stays}), at(16))
+	tracker.RecordReadFailure(at(16.5))
+	tracker.Observe([]Server{stays}, at(19))
+	assert.Equal(t, serverCount(tracker.List()), 1)
+
+	tracker = newTracker() // it leaves after the other host's read
+	tracker.Seed(both, at(16))
+	tracker.Observe([]Server{stays}, at(17))
+	assert.Equal(t, serverCount(tracker.List()), 1)
+
+	tracker = newTracker() // nobody has read the store: an outage
+	tracker.Seed(both, at(1))
+	tracker.Observe([]Server{stays}, at(17))
+	assert.Equal(t, serverCount(tracker.List()), 2)
+}
