Order server lists by revision, not by the age of responses

Cause: lists were ordered by the instant at which the store held them. For a list from another host it is computed from the sending of the request, so it is too early by the time for which the leader holds a sync back, up to 500 ms. A list that followed a quick response looked older than what the host knew and was dropped, but the leader took it for known and never sent it again. And a response without a list confirmed the one in the view, which may be another than the one that the host had named.

Evidence: read, and shown by tests: TestListOfAHeldResponseIsNotDropped (held for 20 ms and more), TestConfirmedListReplacesAnOlderOne and TestOlderRevisionDoesNotReplaceAList fail without the change.

Change: the store's revision decides which list is newer. A confirmation sets the list that it confirms.

--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -124,12 +124,17 @@
 // applyServers applies a server list or the changes to one. It returns false if
 // the result differs from the sender's list.
 func (n *Node) applyServers(response *fleetpb.SyncResponse, at boottime.Instant) bool {
+	current := n.baseServerList(response.Leader)
 	if !response.HasServers {
-		n.view.confirmServers(at, response.ServersRevision)
+		// The sender's list is the one that this host has named, which need not be the
+		// one in the view: another source may have been ahead of the sender.
+		if current != nil && current.Digest == response.Known.Servers {
+			n.view.setServers(current, at, response.ServersRevision)
+		}
 		return true
 	}
 	base := &registry.List{}
-	if current := n.baseServerList(response.Leader); response.ServerChangesOnly && current != nil {
+	if response.ServerChangesOnly && current != nil {
 		base = current
 	}
 	list := base.WithChanges(serversFromProto(response.Servers), response.RemovedServers)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -135,25 +135,22 @@
 	})
 }
 
-// confirmServers records that the store still held the server list at the given
-// instant and revision.
-func (v *View) confirmServers(at boottime.Instant, revision int64) {
-	v.update(func(next *Snapshot) bool {
-		next.ServersConfirmedAt = max(next.ServersConfirmedAt, at)
-		next.ServersRevision = max(next.ServersRevision, revision)
-		return false
-	})
-}
-
 // setServers sets a list that the store held at the given instant and revision,
-// unless a newer one is known. A server that was seen draining stays draining,
-// whatever another reader has seen.
+// unless a newer one is known. The revision decides which is newer: the instant of a
+// list that came from another host is too early by the time for which that host held
+// the response back. Only without a revision, which older builds do not send, the
+// instant decides. A server that was seen draining stays draining, whatever another
+// reader has seen.
 func (v *View) setServers(list *registry.List, at boottime.Instant, revision int64) {
 	v.update(func(next *Snapshot) bool {
-		if at < next.ServersConfirmedAt {
+		isOlder := revision < next.ServersRevision
+		if revision == 0 || next.ServersRevision == 0 {
+			isOlder = at < next.ServersConfirmedAt
+		}
+		if isOlder {
 			return false
 		}
-		next.ServersConfirmedAt, next.ServersRevision = at, revision
+		next.ServersConfirmedAt, next.ServersRevision = max(next.ServersConfirmedAt, at), revision
 		list = v.preserveDraining(list)
 		if next.Servers != nil && next.Servers.Digest == list.Digest {
 			return false
