Check that a server is still in use right before a request is written

Cause: the decision was made before the news. Opening a connection takes a second and more on a lossy link, and a slow host sends long after it has decided. Only the caller was looked at again before the write.

Change: right before the request is written the host looks whether this start of the server is still listed and takes requests. If not, nothing is written, the request counts as not sent, and goes to another server, also if it must not be repeated.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -198,9 +198,21 @@
 		return h.skipServer(q, decision, ticket, errHeldOff)
 	}
 	q.upstream.Deadline, q.upstream.ExpectedInstance = q.deadline, server.ID
-	q.upstream.Unwanted = q.caller.hasLeft
+	q.upstream.BeforeSend = func() error {
+		switch {
+		case q.caller.hasLeft():
+			return context.Canceled
+		case !h.ServerPools.isUsable(server):
+			return errServerWithdrawn
+		default:
+			return nil
+		}
+	}
 	sentAt := time.Now()
 	result := pool.Do(ctx, &q.upstream)
+	if errors.Is(result.Err, errServerWithdrawn) {
+		return h.skipServer(q, decision, ticket, errServerWithdrawn)
+	}
 	took := time.Since(sentAt)
 	if result.Sent {
 		q.stage = stageSent
@@ -227,6 +239,10 @@
 	return result
 }
 
+// errServerWithdrawn reports that a server was found to leave, or to be gone, while the
+// connection to it was being opened.
+var errServerWithdrawn = errors.New("the server is not to be used any more")
+
 // skipServer gives back a server that was chosen for the request, without sending.
 func (h *Handler) skipServer(q *request, decision dispatch.Decision, ticket placing.AcquiredSlot, reason error) exchange.Result {
 	h.Placer.Release(ticket, dispatch.Result{Outcome: dispatch.Abandoned})
--- a/internal/entry/serverpools.go
+++ b/internal/entry/serverpools.go
@@ -69,6 +69,14 @@
 	return p.pool, p.server, true
 }
 
+// isUsable reports whether the process of the server is listed and takes requests.
+func (s *ServerPools) isUsable(server ratelimit.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pools[server.ID]
+	return p != nil && p.server == server
+}
+
 // isReplaced reports whether another process of the server is listed.
 func (s *ServerPools) isReplaced(server ratelimit.Server) bool {
 	s.mu.Lock()
--- a/internal/exchange/departure_test.go
+++ b/internal/exchange/departure_test.go
@@ -39,7 +39,7 @@
 	assert.Assert(t, !result.Sent)
 	departing, leave := context.WithCancel(context.Background())
 	result = p.Do(departing, &Request{ID: "left", Method: "GET", Target: "/", Host: "a", Deadline: time.Now().Add(5 * time.Second),
-		Unwanted: func() bool { leave(); return true }})
+		BeforeSend: func() error { leave(); return context.Canceled }})
 	assert.Equal(t, result.Outcome, Canceled)
 	assert.Equal(t, do(context.Background(), "last").Outcome, Answered)
 	assert.Equal(t, <-requests+" "+<-requests, "first last")
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -82,9 +82,10 @@
 	ContentLength    int64     // of the complete body; negative if unknown
 	Deadline         time.Time
 	ExpectedInstance string // ID of the server instance that may run the request
-	// Unwanted, if not nil, is called right before the request is written. If it
-	// returns true, nothing is written and the exchange ends as canceled.
-	Unwanted func() bool
+	// BeforeSend, if not nil, is called right before the request is written. If it
+	// returns an error, nothing is written and the exchange ends with that error: as
+	// canceled if it is context.Canceled, and otherwise as not sent.
+	BeforeSend func() error
 	// FreshConnOnly avoids connections that have been idle for long: if the server
 	// closes one at that moment, a request that must not be retried is lost.
 	FreshConnOnly bool
@@ -143,10 +144,15 @@
 
 // roundTrip sends the request on a connection and reads the response.
 func (p *Pool) roundTrip(ctx context.Context, c *conn, r *Request) Result {
-	// Before ctx is watched: Unwanted may end it, which would close the connection.
-	if r.Unwanted != nil && r.Unwanted() {
-		p.putBack(c)
-		return Result{Outcome: Canceled, Err: context.Canceled}
+	// Before ctx is watched: BeforeSend may end it, which would close the connection.
+	if r.BeforeSend != nil {
+		if err := r.BeforeSend(); err != nil {
+			p.putBack(c)
+			if errors.Is(err, context.Canceled) {
+				return Result{Outcome: Canceled, Err: err}
+			}
+			return Result{Outcome: NotSent, Err: err}
+		}
 	}
 	if err := c.SetDeadline(r.Deadline); err != nil {
 		c.discard()
