Try servers again that lost their keys because their grants failed

Keys of a whole service stayed without an owner while its servers answered.

Cause: a server whose grant fails is no candidate for ranges until a grant is acknowledged. One that has lost all its ranges is sent no grant any more, so it never became a candidate again in that term. If the last candidate ended, none was left.

TestServersThatFailedGetKeysAgain shows it without random faults: 64 of 64 positions without an owner.

Change: each 2 s the leader verifies the connection to such a server, as before a grant, and gives it nothing. If it answers, it is a candidate again.

The fake deployment also kept entries of ended servers if the store was away when they were to be removed; it removes them with each heartbeat now.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -104,6 +104,28 @@
 	})
 }
 
+// Guards against keys that stay without an owner although servers answer: servers whose
+// grants once failed must be candidates again when they answer. Found by seed 5115 of
+// TestSchedulesWithReusedAddresses.
+func TestServersThatFailedGetKeysAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 5, 10, nil)
+		time.Sleep(6 * time.Second)
+		for i := range 4 {
+			c.cutServer(fmt.Sprint("s", i), true)
+		}
+		time.Sleep(8 * time.Second)
+		for i := range 4 {
+			c.cutServer(fmt.Sprint("s", i), false)
+		}
+		time.Sleep(4 * time.Second)
+		c.crashServer("s4") // it has all keys
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, c.unservedPositions(), 0)
+		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
+	})
+}
+
 // Guards against a host that is started during an outage of the store and does
 // not get the state from other hosts.
 func TestNewHostLearnsFromPeersDuringOutage(t *testing.T) {
--- a/internal/control/fake_grants_test.go
+++ b/internal/control/fake_grants_test.go
@@ -62,6 +62,14 @@
 
 func (f *fakeSession) Close() {}
 
+func (f *fakeSession) Verify(ctx context.Context) error {
+	s, err := f.client.server(ctx, f.server.Address)
+	if err != nil {
+		return err
+	}
+	return f.client.cluster.check(s, f.server)
+}
+
 func (f *fakeSession) Grant(ctx context.Context, g shards.Grant) error {
 	o := f.client
 	s, err := o.server(ctx, f.server.Address)
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -144,13 +143,12 @@
 		for _, s := range c.servers {
 			entries["servers/"+s.id] = &fakeServer{id: s.id, service: s.service, address: s.address, incarnation: s.incarnation, up: s.up}
 		}
-		c.lingering = slices.DeleteFunc(c.lingering, func(e lingeringEntry) bool {
-			expired := !time.Now().Before(e.until)
-			if expired && entries["servers/"+e.id] == nil {
+		// Again with each heartbeat: the store may be away, or come back with the entry.
+		for _, e := range c.lingering {
+			if !time.Now().Before(e.until) && entries["servers/"+e.id] == nil {
 				entries["servers/"+e.id] = &fakeServer{id: e.id}
 			}
-			return expired
-		})
+		}
 		c.mu.Unlock()
 		for key, s := range entries {
 			if s.up {
--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -139,6 +139,7 @@
 			openingCount++
 		}
 	}
+	m.tryFailedServers(ctx, servers, due, now)
 	m.grantsDeferred = false
 	for _, id := range m.sortByLastAttempt(due) {
 		ranges, h := due[id], m.holders[id]
@@ -179,6 +180,33 @@
 	}
 }
 
+// tryFailedServers tries whether servers answer again whose grants have failed and that
+// have no ranges left. They are no candidates for ranges before. The caller holds mu.
+func (m *assignmentManager) tryFailedServers(ctx context.Context, servers map[string]registry.Server, due map[string][]shards.Range, now boottime.Instant) {
+	for id, h := range m.holders {
+		s, listed := servers[id]
+		if !listed || s.Draining || s.Incarnation != h.incarnation || s.Address != h.address || len(due[id]) > 0 ||
+			h.failingSince == 0 || h.sending || now.Sub(h.lastAttemptAt) < failedServerInterval {
+			continue
+		}
+		h.sending, h.lastAttemptAt = true, now
+		session := h.session
+		m.leadership.group.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, grantTimeout)
+			err := session.Verify(callCtx)
+			cancel()
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			h.sending = false
+			if err == nil {
+				h.failingSince, h.backoff = 0, 0
+				return
+			}
+			m.reopenSession(id, h)
+		})
+	}
+}
+
 // sortByLastAttempt returns the server IDs, the longest without a grant attempt
 // first.
 func (m *assignmentManager) sortByLastAttempt(due map[string][]shards.Range) []string {
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -30,6 +30,9 @@
 	// from the servers that do.
 	minFailureBackoff = 100 * time.Millisecond
 	maxFailureBackoff = 400 * time.Millisecond
+	// failedServerInterval is the interval at which a server that has lost its ranges
+	// because its grants failed is tried again, without giving it any.
+	failedServerInterval = 2 * time.Second
 	// misdirectedBackoff is the delay after a release that met another server at the
 	// address. Only a new entry of the server can change that.
 	misdirectedBackoff = time.Second
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -50,6 +50,9 @@
 	// the error's SessionEnded is set. Success means that the server itself has
 	// answered.
 	Grant(ctx context.Context, grant shards.Grant) error
+	// Verify opens the connection and proves that the server itself is at its other
+	// end. It gives the server nothing.
+	Verify(ctx context.Context) error
 	// Close ends the session.
 	Close()
 }
