Keep the grace period after an outage that another host has seen end

It took the list of another host as a sign that the store was reachable all the time before. But that host may have read the store for the first time after an outage, and its list then holds servers whose entries have expired and come back within 2 s. The next host to read removed them.

Change: a view records when a time ended for which nobody known to it had confirmed the servers, if it was long enough for entries to expire. A tracker that is seeded keeps missing entries for the grace period from then on.

--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -31,6 +31,10 @@
 	// configuration and the servers.
 	ConfigConfirmedAt  boottime.Instant
 	ServersConfirmedAt boottime.Instant
+	// ServersGapEnd is the end of the last time for which nobody known to this host has
+	// confirmed the servers, if it was long enough for entries to expire; 0 if there was
+	// none. It may have been an outage of the store.
+	ServersGapEnd boottime.Instant
 	// ServersRevision is the store revision up to which Servers is current; 0
 	// if unknown.
 	ServersRevision int64
@@ -150,6 +154,9 @@
 		if isOlder {
 			return false
 		}
+		if next.ServersConfirmedAt != 0 && at.Sub(next.ServersConfirmedAt) > registry.MinOutage {
+			next.ServersGapEnd = at
+		}
 		next.ServersConfirmedAt, next.ServersRevision = max(next.ServersConfirmedAt, at), revision
 		list = v.preserveDraining(list)
 		if next.Servers != nil && next.Servers.Digest == list.Digest {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -221,8 +221,10 @@
 // Seed replaces the servers by those of a list that another Tracker has computed from a
 // read at the given instant. What this Tracker has missed since its own last read does
 // not count: a server that is not in the list has left, and reads of this host that
-// failed before the instant were no outage of the store.
-func (t *Tracker) Seed(list *List, at boottime.Instant) {
+// failed before the instant say nothing about the store. The store was away only if
+// nobody read it: gapEnd is when that was last so, or 0, and missing entries get
+// PostOutageGrace from then on.
+func (t *Tracker) Seed(list *List, at, gapEnd boottime.Instant) {
 	for id, s := range t.servers {
 		if _, listed := list.Servers[id]; !listed {
 			t.removed[id] = s.Incarnation
@@ -232,5 +234,11 @@
 	if t.servers == nil {
 		t.servers = make(map[string]Server)
 	}
-	t.RecordStoreReachable(at)
+	if t.failingSince != 0 {
+		t.failingSince = max(t.failingSince, at)
+	}
+	t.graceEnd, t.outageFrom, t.outageTo = 0, 0, 0
+	if gapEnd != 0 {
+		t.graceEnd = gapEnd.Add(PostOutageGrace)
+	}
 }
