--- a/internal/control/schedule_test.go
+++ b/internal/control/schedule_test.go
@@ -24,16 +24,21 @@
 			c.randomFault()
 			time.Sleep(time.Duration(c.scheduleRandom.IntN(2500)) * time.Millisecond)
 		}
-		c.endFaults()
-		time.Sleep(20 * time.Second)
-		if missing := c.unservedPositions(); missing > 0 {
-			c.errors = append(c.errors, fmt.Sprintf("%d positions have no owner 20 s after the last fault", missing))
-		}
-		errors = c.close()
+		errors = c.recoverAndClose()
 	})
 	return errors
 }
 
+// recoverAndClose ends all faults and, after 20 s, the cluster. It returns the errors.
+func (c *cluster) recoverAndClose() []string {
+	c.endFaults()
+	time.Sleep(20 * time.Second)
+	if missing := c.unservedPositions(); missing > 0 {
+		c.errors = append(c.errors, fmt.Sprintf("%d positions have no owner 20 s after the last fault", missing))
+	}
+	return c.close()
+}
+
 // randomFault starts or ends one fault.
 func (c *cluster) randomFault() {
 	host := hostNames[c.scheduleRandom.IntN(len(hostNames))]
@@ -117,12 +122,7 @@
 			}
 			time.Sleep(time.Duration(c.scheduleRandom.IntN(2000)) * time.Millisecond)
 		}
-		c.endFaults()
-		time.Sleep(20 * time.Second)
-		if missing := c.unservedPositions(); missing > 0 {
-			c.errors = append(c.errors, fmt.Sprintf("%d positions have no owner 20 s after the last fault", missing))
-		}
-		errors = c.close()
+		errors = c.recoverAndClose()
 	})
 	return errors
 }
