Put an accepted change into force before the operator is told

Callers saw: cassiasillctl reported "created, revision 3", and the next `cassiasillctl get` at the same host listed no document.

Cause: Writer.finishAccepted finished the requests of a batch first and installed the new state at the host's Follower afterwards, so the response to the change could overtake the state that the next read is served from.

Ruled out: the client's choice of host (it calls the servers in the order given, here always the first) and the documents' filter (the listing came back empty, with the header of an empty table, as at revision 2).

Change: the state is installed before the requests are finished.

Evidence: TestAcceptedChangeIsReadFromItsHost delays the installation by 200 ms of virtual time: before, the host is at revision 0 when revision 1 has been reported; after, at revision 1.

Why it works: a response is written by the request's goroutine, which waits for finish, and finish now comes after the Follower holds the state.

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -363,6 +363,19 @@
 	})
 }
 
+// Guards against an operator who is told that a change was accepted and then
+// reads the documents of before from the same host.
+func TestAcceptedChangeIsReadFromItsHost(t *testing.T) {
+	inCluster(t, func(t *testing.T, _ context.Context, _ *fakeStore, hosts []*fakeHost) {
+		hosts[0].writer.onAccepted = func(state State) {
+			time.Sleep(200 * time.Millisecond)
+			hosts[0].follower.Install(state)
+		}
+		r := mustApply(t, hosts[0], change("read", labels("inv-03", 0, "tier=fast")))
+		assert.Equal(t, hosts[0].follower.Current().Revision(), r.Revision)
+	})
+}
+
 // Guards against unbounded store calls when the edits of a shift come at once, against a
 // burst on all hosts starving some, and against a change over the limit
 // reaching the store.
--- a/internal/configsync/writer.go
+++ b/internal/configsync/writer.go
@@ -45,7 +45,8 @@
 	store     store.Store
 	inventory declaration.Inventory
 	log       *zap.Logger
-	// onAccepted is called with the state after each accepted batch.
+	// onAccepted is called with the state after each accepted batch, before
+	// the requests of the batch are finished.
 	onAccepted func(State)
 	queue      chan *request
 	// unresolved is true while the outcome of a write whose response was lost
@@ -327,6 +328,8 @@
 	return left
 }
 
+// finishAccepted puts the accepted changes into force on this host and then
+// finishes their requests, so that an operator reads what was just accepted.
 func (w *Writer) finishAccepted(batch []*request, plans []plannedChange, headMod int64) {
 	state := plans[len(plans)-1].state
 	state.headMod = headMod
@@ -334,15 +337,15 @@
 	if headMod > 0 {
 		w.cached = state
 	}
+	if w.onAccepted != nil {
+		w.onAccepted(state)
+	}
 	for i, r := range batch {
 		a := plans[i].accepted
 		w.log.Info("configsync: change accepted", zap.String("change", a.ID), zap.String("author", a.Author),
 			zap.Uint64("revision", a.Revision), zap.Uint64("from", a.From), zap.Int("documents", len(a.Edits)))
 		r.finish(Result{ID: a.ID, Revision: a.Revision, Edits: a.Edits, Warnings: plans[i].warnings}, nil)
 	}
-	if w.onAccepted != nil {
-		w.onAccepted(state)
-	}
 }
 
 func finishAll(batch []*request, err error) {
