--- a/internal/entry/withdrawn_test.go
+++ b/internal/entry/withdrawn_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -79,3 +80,76 @@
 		}
 	}
 }
+
+// Guards against a request that is queued when its host learns that a server leaves, and
+// that is sent there as soon as the server has room (DRAIN).
+func TestQueuedRequestIsNotSentToAServerThatLeavesMeanwhile(t *testing.T) {
+	const requests = 12
+	var mu sync.Mutex
+	executed := make(map[string]int)
+	var first string // address of the first server that got a request
+	room := map[bool]chan struct{}{true: make(chan struct{}), false: make(chan struct{})}
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		address := r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
+		mu.Lock()
+		if first == "" {
+			first = address
+		}
+		executed[address]++
+		isFirst := first == address
+		mu.Unlock()
+		<-room[isFirst]
+		w.Header().Set("X-Signature", "s")
+		_, _ = io.WriteString(w, "ok")
+	}
+	counts := func() map[string]int {
+		mu.Lock()
+		defer mu.Unlock()
+		return maps.Clone(executed)
+	}
+	p := newTestHostWith(t, testHostOptions{timeout: departureTimeout}, serve, serve)
+	responses := make(chan int, requests)
+	var callers sync.WaitGroup
+	for range requests {
+		callers.Go(func() {
+			status, _, _, _ := p.do(t, "GET", "/safe/x", "")
+			responses <- status
+		})
+	}
+	openFirst, openOther := sync.OnceFunc(func() { close(room[true]) }), sync.OnceFunc(func() { close(room[false]) })
+	t.Cleanup(func() { openFirst(); openOther(); callers.Wait() })
+	// Both servers are busy when their counts have stopped to grow.
+	waitFor(t, func() bool {
+		before := counts()
+		time.Sleep(100 * time.Millisecond)
+		return len(before) == 2 && maps.Equal(before, counts())
+	})
+	before := counts()
+	assert.Assert(t, before[first] > 0 && sumOf(before) < requests, "no request is queued: %v", before)
+
+	p.changeServer(first, func(s *registry.Server) bool { s.Draining = true; return true })
+	openFirst()
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, counts()[first], before[first])
+	openOther()
+	succeeded := 0
+	for range requests {
+		// What the other server cannot do in time is rejected.
+		status := <-responses
+		assert.Assert(t, status == http.StatusOK || status == http.StatusServiceUnavailable, "status %d", status)
+		if status == http.StatusOK {
+			succeeded++
+		}
+	}
+	after := counts()
+	assert.Equal(t, after[first], before[first])
+	assert.Equal(t, sumOf(after), succeeded)
+	assert.Assert(t, succeeded > sumOf(before), "no queued request was served")
+}
+
+func sumOf(counts map[string]int) (sum int) {
+	for n := range maps.Values(counts) {
+		sum += n
+	}
+	return sum
+}
