Forgive failed reads once another host has reached the store

Cause: the Tracker knows only when its reads began to fail. A host whose reads failed in a former cut (2.5 to 11.5 s) and that has followed the leader since does not read, so the failure stands. Seed and RecordStoreReachable moved it to the instant at which another host had reached the store instead of ending it. When the leader was then cut off and nobody read for longer than MinOutage (1.5 s), the next read of that host looked like the end of an outage, and it kept servers that had left for PostOutageGrace (2.2 s). It became leader and gave them to all hosts.

The test fails without the change (2 servers instead of 1).

Ruled out: a late list (most hosts knew within 0.5 s) and a decision older than the news (the server was in the hosts' lists when the requests came).

Change: failed reads from before the instant are forgotten if none failed after it. Why it works: a read that failed before another host reached the store says nothing about the time after; a host that does not read has no reason to assume an outage, as TestNoGraceAfterAGapWithoutReads has it for hosts that never failed. If its own reads fail later, the grace stays (case added to the test).

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -115,6 +115,7 @@
 type Tracker struct {
 	servers      map[string]Server
 	failingSince boottime.Instant // when reads began to fail; 0 if they succeed
+	lastFailure  boottime.Instant // when the last failed read began
 	graceEnd     boottime.Instant
 	// outageFrom and outageTo are the outage that the grace period is for.
 	outageFrom, outageTo boottime.Instant
@@ -191,6 +192,7 @@
 
 // RecordReadFailure records that a read that began at the given instant failed.
 func (t *Tracker) RecordReadFailure(began boottime.Instant) {
+	t.lastFailure = max(t.lastFailure, began)
 	if t.failingSince == 0 {
 		t.failingSince = began
 	}
@@ -213,8 +215,18 @@
 			t.graceEnd = 0
 		}
 	}
-	if t.failingSince != 0 && at > t.failingSince {
-		t.failingSince = at
+	t.forgiveFailures(at)
+}
+
+// forgiveFailures forgets the failed reads from before the instant, at which another
+// host reached the store. If none failed after it, the store counts as reachable since:
+// a host that follows does not read it, which is no outage.
+func (t *Tracker) forgiveFailures(before boottime.Instant) {
+	switch {
+	case t.lastFailure <= before:
+		t.failingSince = 0
+	case t.failingSince != 0:
+		t.failingSince = max(t.failingSince, before)
 	}
 }
 
@@ -234,9 +246,7 @@
 	if t.servers == nil {
 		t.servers = make(map[string]Server)
 	}
-	if t.failingSince != 0 {
-		t.failingSince = max(t.failingSince, at)
-	}
+	t.forgiveFailures(at)
 	t.graceEnd, t.outageFrom, t.outageTo = 0, 0, 0
 	if gapEnd != 0 {
 		t.graceEnd = gapEnd.Add(PostOutageGrace)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -125,6 +125,22 @@
 	tracker.Observe([]Server{stays}, at(17))
 	assert.Equal(t, serverCount(tracker.List()), 1)
 
+	tracker = newTracker() // and nobody reads the store for longer than MinOutage
+	tracker.Seed(both, at(16), 0)
+	tracker.Observe([]Server{stays}, at(17.6))
+	assert.Equal(t, serverCount(tracker.List()), 1)
+
+	tracker = newTracker() // the same, and another host reports only that it reached the store
+	tracker.RecordStoreReachable(at(16))
+	tracker.Observe([]Server{stays}, at(17.6))
+	assert.Equal(t, serverCount(tracker.List()), 1)
+
+	tracker = newTracker() // the host's own reads still fail after that
+	tracker.Seed(both, at(16), 0)
+	tracker.RecordReadFailure(at(16.4))
+	tracker.Observe([]Server{stays}, at(18))
+	assert.Equal(t, serverCount(tracker.List()), 2)
+
 	tracker = newTracker() // nobody has read the store: an outage
 	tracker.Seed(both, at(1), 0)
 	tracker.Observe([]Server{stays}, at(17))
