Count a time without reads as an outage only if an own read failed in it

A tracker that is seeded kept missing entries for PostOutageGrace after each time of more than MinOutage (1.5 s) for which nobody was known to have confirmed the servers. While the leader is cut off from the store, nobody reads for 1.1 to 1.7 s, as relays read only once the leader's list is stale, so nearly every host saw such a gap. A host that became leader then took back servers that it and the others had withdrawn.

The test fails without the change (2 servers instead of 1).

Change: a view records when a gap began, and a tracker that is seeded grants the grace period only if one of its own reads failed in the gap. Why it works: in an outage the hosts that read the store, from which leaders come, fail; while a leader is cut off they do not try.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -47,7 +47,7 @@
 	snapshot := n.view.Load()
 	if snapshot.Servers != nil && snapshot.ServersRevision > n.reader.revision {
 		n.reader.seed(snapshot.Servers, snapshot.ServersRevision, n.Schema.ServersPrefix)
-		n.tracker.Seed(snapshot.Servers, snapshot.ServersConfirmedAt, snapshot.ServersGapEnd)
+		n.tracker.Seed(snapshot.Servers, snapshot.ServersConfirmedAt, snapshot.ServersGap)
 	}
 	return n.readServers(ctx)
 }
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -147,7 +147,7 @@
 	defer cancel()
 	n := l.node
 	if snapshot := n.view.Load(); snapshot.Servers != nil {
-		n.tracker.Seed(snapshot.Servers, snapshot.ServersConfirmedAt, snapshot.ServersGapEnd)
+		n.tracker.Seed(snapshot.Servers, snapshot.ServersConfirmedAt, snapshot.ServersGap)
 	}
 	// A list read by another host may still hold servers that were removed
 	// during an outage. Only a new listing shows which servers exist.
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -31,10 +31,10 @@
 	// configuration and the servers.
 	ConfigConfirmedAt  boottime.Instant
 	ServersConfirmedAt boottime.Instant
-	// ServersGapEnd is the end of the last time for which nobody known to this host has
-	// confirmed the servers, if it was long enough for entries to expire; 0 if there was
-	// none. It may have been an outage of the store.
-	ServersGapEnd boottime.Instant
+	// ServersGap is the last time for which nobody known to this host has confirmed the
+	// servers, if it was long enough for entries to expire; zero if there was none. It may
+	// have been an outage of the store.
+	ServersGap registry.Gap
 	// ServersRevision is the store revision up to which Servers is current; 0
 	// if unknown.
 	ServersRevision int64
@@ -160,7 +160,7 @@
 			return false
 		}
 		if next.ServersConfirmedAt != 0 && at.Sub(next.ServersConfirmedAt) > registry.MinOutage {
-			next.ServersGapEnd = at
+			next.ServersGap = registry.Gap{From: next.ServersConfirmedAt, To: at}
 		}
 		next.ServersConfirmedAt, next.ServersRevision = max(next.ServersConfirmedAt, at), revision
 		if next.hasServers(list) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -230,13 +230,17 @@
 	}
 }
 
+// Gap is a time for which nobody known to a host has confirmed the servers.
+type Gap struct{ From, To boottime.Instant }
+
 // Seed replaces the servers by those of a list that another Tracker has computed from a
 // read at the given instant. What this Tracker has missed since its own last read does
 // not count: a server that is not in the list has left, and reads of this host that
-// failed before the instant say nothing about the store. The store was away only if
-// nobody read it: gapEnd is when that was last so, or 0, and missing entries get
-// PostOutageGrace from then on.
-func (t *Tracker) Seed(list *List, at, gapEnd boottime.Instant) {
+// failed before the instant say nothing about the store. The gap is the last one before
+// the instant that was long enough for entries to expire, or zero. The store was away in
+// it only if a read of this host failed in it too; then missing entries get
+// PostOutageGrace from its end on.
+func (t *Tracker) Seed(list *List, at boottime.Instant, gap Gap) {
 	for id, s := range t.servers {
 		if _, listed := list.Servers[id]; !listed {
 			t.removed[id] = s.Incarnation
@@ -248,7 +252,7 @@
 	}
 	t.forgiveFailures(at)
 	t.graceEnd, t.outageFrom, t.outageTo = 0, 0, 0
-	if gapEnd != 0 {
-		t.graceEnd = gapEnd.Add(PostOutageGrace)
+	if gap.From < t.lastFailure && t.lastFailure <= gap.To {
+		t.graceEnd = gap.To.Add(PostOutageGrace)
 	}
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -115,18 +115,18 @@
 	}
 
 	tracker := newTracker() // another host has removed it
-	tracker.Seed(NewList(map[string]Server{"stays": stays}), at(16), 0)
+	tracker.Seed(NewList(map[string]Server{"stays": stays}), at(16), Gap{})
 	tracker.RecordReadFailure(at(16.5))
 	tracker.Observe([]Server{stays}, at(19))
 	assert.Equal(t, serverCount(tracker.List()), 1)
 
 	tracker = newTracker() // it leaves after the other host's read
-	tracker.Seed(both, at(16), 0)
+	tracker.Seed(both, at(16), Gap{})
 	tracker.Observe([]Server{stays}, at(17))
 	assert.Equal(t, serverCount(tracker.List()), 1)
 
 	tracker = newTracker() // and nobody reads the store for longer than MinOutage
-	tracker.Seed(both, at(16), 0)
+	tracker.Seed(both, at(16), Gap{})
 	tracker.Observe([]Server{stays}, at(17.6))
 	assert.Equal(t, serverCount(tracker.List()), 1)
 
@@ -136,20 +136,25 @@
 	assert.Equal(t, serverCount(tracker.List()), 1)
 
 	tracker = newTracker() // the host's own reads still fail after that
-	tracker.Seed(both, at(16), 0)
+	tracker.Seed(both, at(16), Gap{})
 	tracker.RecordReadFailure(at(16.4))
 	tracker.Observe([]Server{stays}, at(18))
 	assert.Equal(t, serverCount(tracker.List()), 2)
 
 	tracker = newTracker() // nobody has read the store: an outage
-	tracker.Seed(both, at(1), 0)
+	tracker.Seed(both, at(1), Gap{})
 	tracker.Observe([]Server{stays}, at(17))
 	assert.Equal(t, serverCount(tracker.List()), 2)
 
 	tracker = newTracker() // an outage that another host has seen end
-	tracker.Seed(both, at(16), at(15.5))
+	tracker.Seed(both, at(16), Gap{From: at(1), To: at(15.5)})
 	tracker.Observe([]Server{stays}, at(16.8))
 	assert.Equal(t, serverCount(tracker.List()), 2)
 	tracker.Observe([]Server{stays}, at(18))
 	assert.Equal(t, serverCount(tracker.List()), 1)
+
+	tracker = newTracker() // nobody read the store for a time, and no read failed in it
+	tracker.Seed(both, at(16), Gap{From: at(13.9), To: at(15.5)})
+	tracker.Observe([]Server{stays}, at(16.8))
+	assert.Equal(t, serverCount(tracker.List()), 1)
 }
