Set how a detour's connection ends in one place

plainWriter and reset each looked for the TCP connection and set its linger time. Both call setLinger now. Behaviour is unchanged; the tests of the package pass with the race detector.

--- a/internal/detour/framing.go
+++ b/internal/detour/framing.go
@@ -36,9 +36,8 @@
 		buffer := bufio.NewWriterSize(host, maxChunkBytes)
 		return &chunkWriter{buffer: buffer, chunks: httputil.NewChunkedWriter(buffer)}
 	}
-	w := &plainWriter{Conn: host}
-	w.setLinger(0)
-	return w
+	setLinger(host, 0)
+	return plainWriter{host}
 }
 
 // chunkWriter writes chunks.
@@ -71,17 +70,11 @@
 // told to reset the connection when it is closed, also at the end of this process.
 type plainWriter struct{ net.Conn }
 
-func (w *plainWriter) markEnd() error {
-	w.setLinger(-1)
+func (w plainWriter) markEnd() error {
+	setLinger(w.Conn, -1)
 	return nil
 }
 
-func (w *plainWriter) setLinger(seconds int) {
-	if tcp, ok := w.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(seconds) // fails only on a closed connection
-	}
-}
-
 // maxChunkBytes is the size of the largest chunk with its header and its end.
 const maxChunkBytes = copyBufferBytes + 16
 
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -136,8 +136,14 @@
 
 // reset closes a connection so that its peer sees an error.
 func reset(c net.Conn) {
+	setLinger(c, 0)
+	_ = c.Close()
+}
+
+// setLinger sets how a connection ends when it is closed: with a reset if seconds is 0,
+// and regularly if it is negative.
+func setLinger(c net.Conn, seconds int) {
 	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // fails only on a closed connection
+		_ = tcp.SetLinger(seconds) // fails only on a closed connection
 	}
-	_ = c.Close()
 }
