Run the random schedules and their variants by one loop each

TestRandomSchedules and TestSchedulesWithReusedAddresses, and the two tests of broken variants, each had a copy of the same loop.

--- a/internal/control/schedule_test.go
+++ b/internal/control/schedule_test.go
@@ -161,10 +161,7 @@
 // Guards against positions with two owners, and positions that stay without one, under
 // random faults that concern who has an address.
 func TestSchedulesWithReusedAddresses(t *testing.T) {
-	for seed := *firstSeed; seed < *firstSeed+*schedules; seed++ {
-		errors := runAddressSchedule(t, seed, nil)
-		assert.Equal(t, len(errors), 0, "seed %d: %v", seed, errors)
-	}
+	requireNoErrors(t, func(seed uint64) []string { return runAddressSchedule(t, seed, nil) })
 }
 
 // Checks that the schedules with reused addresses detect grant clients that take an
@@ -176,12 +173,7 @@
 	}
 	for name, broken := range variants {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(60) {
-				if len(runAddressSchedule(t, seed, broken)) > 0 {
-					return
-				}
-			}
-			t.Error("no schedule detects the variant")
+			requireDetected(t, func(seed uint64) []string { return runAddressSchedule(t, seed, broken) })
 		})
 	}
 }
@@ -195,12 +187,29 @@
 // Guards against positions with two owners, and positions that stay without
 // one, under random faults.
 func TestRandomSchedules(t *testing.T) {
+	requireNoErrors(t, func(seed uint64) []string { return runSchedule(t, seed, nil) })
+}
+
+// requireNoErrors runs the schedules that the flags choose.
+func requireNoErrors(t *testing.T, run func(seed uint64) []string) {
+	t.Helper()
 	for seed := *firstSeed; seed < *firstSeed+*schedules; seed++ {
-		errors := runSchedule(t, seed, nil)
+		errors := run(seed)
 		assert.Equal(t, len(errors), 0, "seed %d: %v", seed, errors)
 	}
 }
 
+// requireDetected runs schedules of a broken variant until one reports errors.
+func requireDetected(t *testing.T, run func(seed uint64) []string) {
+	t.Helper()
+	for seed := range uint64(60) {
+		if len(run(seed)) > 0 {
+			return
+		}
+	}
+	t.Error("no schedule detects the variant")
+}
+
 // Checks that the schedules detect a leader with unsafe timing. Otherwise
 // passing them would prove nothing.
 func TestSchedulesFindBrokenVariants(t *testing.T) {
@@ -210,12 +219,7 @@
 	}
 	for name, broken := range variants {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(60) {
-				if len(runSchedule(t, seed, broken)) > 0 {
-					return
-				}
-			}
-			t.Error("no schedule detects the variant")
+			requireDetected(t, func(seed uint64) []string { return runSchedule(t, seed, broken) })
 		})
 	}
 }
