Keep large responses in their availability zone while the target allows

Cause: the dispatcher accepts up to a fifth of a request's slack to avoid a new connection (210 ms for a download with a target of 1.2 s), but only 63 ms to keep a response of 90 kB in its zone.

Change: a response of 64 KiB or more may cost 0.3 of the slack to stay in its zone, a smaller one proportionally less.

--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -117,6 +117,12 @@
 	// of a response between availability zones. For a large response that is about
 	// a quarter of its target.
 	crossZoneCostPerByte = 700 * time.Nanosecond
+	// zoneSlackShare is the share of a request's slack (see maxSlackShare) that is
+	// accepted to keep a response of largeResponseBytes or more in its availability zone,
+	// and proportionally less for smaller ones. It exceeds maxSlackShare: a large response
+	// costs the links between zones more than a new connection costs the server.
+	zoneSlackShare     = 0.3
+	largeResponseBytes = 64 << 10
 	// newConnectionCost is the delay that is accepted to avoid a new connection: one
 	// takes two round trips and time of the server, which all callers share.
 	newConnectionCost = 40 * time.Millisecond
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -301,12 +301,13 @@
 		cost += work / s.effectiveSpeed(now) * (busy - 0.5)
 	}
 	cost /= max(1-s.failureRate, 0.05)
+	slack := (r.Target.Sub(now) - r.Work).Seconds()
 	if s.Zone != r.Zone {
-		cost += r.ResponseBytes * crossZoneCostPerByte.Seconds()
+		large := min(r.ResponseBytes/largeResponseBytes, 1)
+		cost += max(r.ResponseBytes*crossZoneCostPerByte.Seconds(), large*zoneSlackShare*slack)
 	}
 	if !s.connections.hasUsable(now, r.HostID, r.Repeatable) {
-		slack := maxSlackShare * (r.Target.Sub(now) - r.Work).Seconds()
-		cost += max(newConnectionCost.Seconds(), slack)
+		cost += max(newConnectionCost.Seconds(), maxSlackShare*slack)
 	}
 	if sched.slotShare < 1 {
 		// The cost becomes an exponential variate with the mean cost, so that each
