Free the ranges of a server whose address another server has

Cause: a new leader waits out what a former leader that does not answer may have renewed, 17.5 s, for every server that does not answer a release.

Change: the assignment records at which address an owner has acknowledged a grant. If another server names itself at that address, the owner has ended and holds nothing. The address of an entry alone still proves nothing.

--- a/internal/control/changes.go
+++ b/internal/control/changes.go
@@ -39,11 +39,15 @@
 			changed = true
 		}
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.recordAddresses(next) && now >= m.nextAddressCommit {
+		changed = true
+	}
 	if !changed {
 		return nil
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.nextAddressCommit = now.Add(addressCommitInterval)
 	next.Compact(func(r shards.Range) bool {
 		h := m.holders[r.Owner]
 		return h != nil && h.ackedAt[grantIDOf(r)] != 0
--- a/internal/control/fake_grants_test.go
+++ b/internal/control/fake_grants_test.go
@@ -45,7 +45,7 @@
 		return nil
 	}
 	c.misdirected++
-	return &shards.GrantError{NotSent: true, Misdirected: true, Err: fmt.Errorf("server %s is at %s", s.id, s.address)}
+	return &shards.GrantError{NotSent: true, Misdirected: true, OtherServer: s.id, Err: fmt.Errorf("server %s is at %s", s.id, s.address)}
 }
 
 func (o *fakeGrantClient) OpenSession(server GrantServer) Session {
--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -95,7 +95,7 @@
 func (m *assignmentManager) requestRelease(ctx context.Context, r shards.Range, release *pendingRelease) {
 	backoff, warned := minFailureBackoff, false
 	for ctx.Err() == nil && m.leadership.node.Clock() < m.grantsExpireAt(release) {
-		server := m.grantServer(r.Owner, m.leadership.addressOf(r.Owner))
+		server := m.grantServer(r.Owner, cmp.Or(m.leadership.addressOf(r.Owner), r.Address))
 		if server.Address == "" {
 			m.leadership.node.sleep(ctx, minFailureBackoff)
 			continue
@@ -103,7 +103,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		handover, err := m.leadership.node.GrantClient.Release(callCtx, server, r.From, r.To, r.ReleaseToken)
 		cancel()
-		if err == nil {
+		if err == nil || m.hasEnded(r, server, err) {
 			m.mu.Lock()
 			release.acknowledged, release.handover = true, handover
 			m.mu.Unlock()
--- a/internal/control/identity_test.go
+++ b/internal/control/identity_test.go
@@ -141,3 +141,27 @@
 		assert.Equal(t, len(c.close()), 0, "%v", c.errors)
 	})
 }
+
+// Guards against keys that stay without an owner until a leader that is lost for good
+// can't be renewing grants any more, although another server has the address of their
+// owner (seen for 17 s on two deployments that lost the leader's machine).
+func TestKeysOfAnEndedServerAfterTheLeaderIsLost(t *testing.T) {
+	const bound = grantExpiry + grantRenewInterval // from the end of the server
+	for seed := range uint64(4) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newTwoServicesCluster(t, 500+seed, nil)
+			first := c.leader()
+			c.store.Partition(first.name)
+			c.killHost(first)
+			time.Sleep(3 * time.Second)
+			assert.Assert(t, c.leader() != nil && c.leader() != first)
+			began := time.Now()
+			c.reuseAddress("s1")
+			for c.unservedPositions() > 0 {
+				time.Sleep(10 * time.Millisecond)
+			}
+			assert.Check(t, time.Since(began) < bound, "keys had no owner for %s", time.Since(began))
+			assert.Equal(t, len(c.close()), 0, "%v", c.errors)
+		})
+	}
+}
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -63,6 +63,8 @@
 
 	// The fields up to mu are used only by the goroutine that calls step.
 	nextPlanAt boottime.Instant
+	// nextAddressCommit is when a change may be committed for the sake of addresses.
+	nextAddressCommit boottime.Instant
 	// firstServerAt, serverCountChangedAt and serverCount track the
 	// registration of servers before the first assignment.
 	firstServerAt, serverCountChangedAt boottime.Instant
--- a/internal/shards/assignment.go
+++ b/internal/shards/assignment.go
@@ -43,6 +43,9 @@
 	// Misdirected is true if another server was found at the address. Nothing was
 	// granted or released.
 	Misdirected bool
+	// OtherServer is the ID by which another server has named itself at the address;
+	// empty if none has.
+	OtherServer string
 	// Unverified is true if nobody has proven to be the server. Nothing was granted or
 	// released.
 	Unverified bool
@@ -64,7 +67,11 @@
 	Owner string `json:"owner,omitempty"`
 	// Incarnation is the Unix millisecond of the owner's start.
 	Incarnation int64 `json:"born,omitempty"`
-	Token       int64 `json:"token,omitempty"` // fencing token
+	// Address is where the owner has acknowledged a grant, under this token or another;
+	// empty if that is not known. A process keeps its address, so the owner has ended
+	// once another server answers there.
+	Address string `json:"address,omitempty"`
+	Token   int64  `json:"token,omitempty"` // fencing token
 	// Handover is sent with the grant until the owner has acknowledged it.
 	Handover string `json:"handover,omitempty"`
 	// ReleaseToken is the fencing token under which the range is being revoked from
@@ -124,7 +131,7 @@
 	}
 	next := 0
 	for _, r := range a.Ranges {
-		if r.Token < 0 || r.ReleaseToken < 0 || r.Incarnation < 0 || max(len(r.Owner), len(r.PlannedOwner), len(r.Handover)) > maxTextBytes {
+		if r.Token < 0 || r.ReleaseToken < 0 || r.Incarnation < 0 || max(len(r.Owner), len(r.PlannedOwner), len(r.Handover), len(r.Address)) > maxTextBytes {
 			return &InvalidError{Problem: fmt.Sprintf("range %d-%d has a value out of bounds", r.From, r.To)}
 		}
 		if int(r.From) != next || r.To < r.From {
@@ -223,7 +230,11 @@
 func (a *Assignment) SetOwner(from uint16, owner string, incarnation int64, handover string) {
 	for i := range a.Ranges {
 		if r := &a.Ranges[i]; r.From == from {
-			*r = Range{From: r.From, To: r.To, Owner: owner, Incarnation: incarnation, Token: a.Version, Handover: handover}
+			address := ""
+			if r.Owner == owner && r.Incarnation == incarnation {
+				address = r.Address
+			}
+			*r = Range{From: r.From, To: r.To, Owner: owner, Incarnation: incarnation, Address: address, Token: a.Version, Handover: handover}
 		}
 	}
 }
@@ -268,5 +279,5 @@
 
 // joinable reports whether two adjacent ranges can be merged.
 func joinable(a, b Range) bool {
-	return a.Held() && b.Held() && a.Owner == b.Owner && a.Incarnation == b.Incarnation && a.Handover == "" && b.Handover == ""
+	return a.Held() && b.Held() && a.Owner == b.Owner && a.Incarnation == b.Incarnation && a.Address == b.Address && a.Handover == "" && b.Handover == ""
 }
