Let a server get requests for its keys only

Cause: an evacuated server may get requests for the keys that it still holds, for a time, but no others; the scheduler had one list for both.

Change: dispatch.Server.KeysOnly takes a server out of the choice for requests without a key, and out of the capacity that they count on.

go test -race ./internal/dispatch passes.

--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -87,6 +87,8 @@
 	// Warmup is how long the server stays slow from now on; it counts only when the
 	// Scheduler first sees the server.
 	Warmup time.Duration
+	// KeysOnly is true if the server gets no requests but those for its keys.
+	KeysOnly bool
 }
 
 // Outcome is how a request ended at a server.
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -97,6 +97,9 @@
 	snap := snapshot{now: now}
 	ejected := 0
 	for _, s := range sched.sortedServers {
+		if s.KeysOnly {
+			continue
+		}
 		speed := s.effectiveSpeed(now)
 		snap.meanSpeed += speed
 		if s.failureRate > ejectionFailureRate {
@@ -280,12 +283,13 @@
 	return best
 }
 
-// eligibleCount returns how many servers the request does not exclude, busy or not.
+// eligibleCount returns how many servers may get the request, which has no key, busy or
+// not.
 func (sched *Scheduler) eligibleCount(r *queuedRequest) int {
-	remaining := len(sched.sortedServers)
-	for _, id := range r.Exclude {
-		if sched.servers[id] != nil {
-			remaining--
+	remaining := 0
+	for _, s := range sched.sortedServers {
+		if !s.KeysOnly && !slices.Contains(r.Exclude, s.ID) {
+			remaining++
 		}
 	}
 	return remaining
