Evacuate availability zones

Change: the leader polls the prefix of the operators' keys, and hosts that read the configuration list it, in the same number of calls. The set of evacuated zones has the revision up to which it is current; the higher revision wins, and after a restore of the store evacuations of earlier eras stay until they are written or deleted. Syncs carry the set when its digest differs; a host that knows more than the leader tells it. From the news on a host sends no requests without a key to the zone, and requests for keys to their owners for 2 s at most, and not past the limit counted from the last confirmation of a set without the zone. The check right before a request is written covers both, and detours to the zone are refused. The leader moves the keys as for a draining server. If all servers of a service are evacuated, its requests are refused at once. A host is ready, and takes requests, once it knows a set. A leader of an older build sends none; hosts then read it themselves.

--- a/internal/control/changes.go
+++ b/internal/control/changes.go
@@ -96,9 +96,10 @@
 }
 
 // replaceOwners distributes ranges without an owner, and releases the ranges of
-// servers that are draining, removed, restarted or suspected.
+// servers that are draining, evacuated, removed, restarted or suspected.
 func (m *assignmentManager) replaceOwners(next *shards.Assignment, servers map[string]registry.Server, candidates []shards.Candidate, load func() shards.Load, now boottime.Instant) bool {
 	var lost []shards.Range
+	snapshot := m.leadership.node.view.Load()
 	changed := false
 	for _, r := range m.assignment.Ranges {
 		if r.ReleaseToken != 0 {
@@ -109,7 +110,7 @@
 		case r.Owner == "":
 			m.distributeRange(next, r, candidates, load)
 			changed = true
-		case !listed || s.Incarnation != r.Incarnation || s.Draining || m.isSuspected(r.Owner, now):
+		case !listed || s.Incarnation != r.Incarnation || !snapshot.TakesNewRequests(s) || m.isSuspected(r.Owner, now):
 			lost = append(lost, r)
 		}
 	}
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -31,14 +31,7 @@
 // the last read was less than minReadInterval ago. It returns true if the store
 // responded to the read of the servers.
 func (n *Node) readEntries(ctx context.Context) bool {
-	now := n.Clock()
-	n.mu.Lock()
-	tooEarly := n.lastReadAt != 0 && now.Sub(n.lastReadAt) < minReadInterval
-	if !tooEarly {
-		n.lastReadAt = now
-	}
-	n.mu.Unlock()
-	if tooEarly {
+	if !n.beginRead() {
 		return false
 	}
 	n.readConfig(ctx)
@@ -52,17 +45,34 @@
 	return n.readServers(ctx)
 }
 
-// readConfig reads the configuration and returns the store's revision, or 0
-// after a failure.
+// beginRead reports whether minReadInterval has passed since the last read of the
+// store by this host as a follower, and if so counts another one.
+func (n *Node) beginRead() bool {
+	now := n.Clock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lastReadAt != 0 && now.Sub(n.lastReadAt) < minReadInterval {
+		return false
+	}
+	n.lastReadAt = now
+	return true
+}
+
+// readConfig reads the operators' entries, which are the configuration and the
+// evacuations. It returns the store's revision, or 0 after a failure.
 func (n *Node) readConfig(ctx context.Context) int64 {
 	startedAt := n.Clock()
-	kv, found, revision, err := n.Store.Get(ctx, n.Schema.ConfigKey)
+	items, revision, err := n.Store.Range(ctx, n.Schema.OperatorPrefix)
 	n.recordStoreResult(err)
 	if err != nil {
 		return 0
 	}
-	if found {
-		n.applyStoredConfig(kv, startedAt)
+	// First the evacuations: a host that knows a configuration sends requests.
+	n.applyListedEvacuations(items, revision, startedAt)
+	for _, kv := range items {
+		if kv.Key == n.Schema.ConfigKey {
+			n.applyStoredConfig(kv, startedAt)
+		}
 	}
 	return revision
 }
@@ -179,7 +189,7 @@
 			delete(r.entries, key)
 		}
 	}
-	n.retainInvalidEntries(listed)
+	n.retainInvalidEntries(n.Schema.ServersPrefix, listed)
 	if r.entries == nil {
 		r.entries = make(map[string]registry.Server, len(items))
 	}
@@ -197,17 +207,23 @@
 // recordInvalidEntry records that an entry can't be decoded, and logs it unless it
 // was invalid before. Kept is true if the server that had the key still counts.
 func (n *Node) recordInvalidEntry(key string, kept bool, err error) {
-	n.mu.Lock()
-	known := n.invalidEntries[key] || len(n.invalidEntries) >= maxInvalidEntries
-	if !known {
-		n.invalidEntries[key] = true
-	}
-	n.mu.Unlock()
-	if !known {
+	if n.markInvalidEntry(key) {
 		n.Log.Warn("control: invalid server entry ignored", zap.String("key", key), zap.Bool("server_kept", kept), zap.Error(err))
 	}
 }
 
+// markInvalidEntry records that an entry can't be decoded, and returns false if it is
+// recorded already or there are too many.
+func (n *Node) markInvalidEntry(key string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.invalidEntries[key] || len(n.invalidEntries) >= maxInvalidEntries {
+		return false
+	}
+	n.invalidEntries[key] = true
+	return true
+}
+
 // removeInvalidEntry forgets an invalid entry that has become valid or is deleted.
 func (n *Node) removeInvalidEntry(key string) {
 	n.mu.Lock()
@@ -215,14 +231,15 @@
 	delete(n.invalidEntries, key)
 }
 
-// retainInvalidEntries forgets the invalid entries that are no longer listed.
-func (n *Node) retainInvalidEntries(listed map[string]bool) {
+// retainInvalidEntries forgets the invalid entries with the prefix that are no longer
+// listed.
+func (n *Node) retainInvalidEntries(prefix string, listed map[string]bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	maps.DeleteFunc(n.invalidEntries, func(key string, _ bool) bool { return !listed[key] })
+	maps.DeleteFunc(n.invalidEntries, func(key string, _ bool) bool { return !listed[key] && strings.HasPrefix(key, prefix) })
 }
 
-// InvalidEntries returns the keys of server entries that this host has read last and
+// InvalidEntries returns the keys of others' entries that this host has read last and
 // can't decode, in order.
 func (n *Node) InvalidEntries() []string {
 	n.mu.Lock()
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -83,6 +83,7 @@
 	// whoever has the address, and redials makes their sessions go on on another
 	// connection. Tests set them to check that violations are detected.
 	ignoresIdentity, redials bool
+	outage                   time.Duration // for which the last failure keeps hosts from the store
 }
 
 // positionHistory is who held the positions of one service.
@@ -116,7 +117,7 @@
 	c := &cluster{t: t, store: memory.New(), scheduleRandom: rand.New(rand.NewPCG(seed, 1)), delayRandom: rand.New(rand.NewPCG(seed, 2)), startedAt: time.Now(), configure: options,
 		servers: make(map[string]*fakeServer), hosts: make(map[string]*testHost), blockedLinks: make(map[[2]string]bool), histories: make(map[string]*positionHistory)}
 	c.ctx, c.stop = context.WithCancel(context.Background())
-	c.putEntry("config", "1")
+	c.putEntry("operator/config", "1")
 	for i := range servers {
 		c.startServer(fmt.Sprintf("s%d", i))
 	}
@@ -216,7 +217,7 @@
 	h.node = NewNode(Options{
 		Host: name, Address: h.address, DispatchAddress: "dispatch-" + name, Seeds: []string{"host-h0", "host-h1"},
 		Store: &pollingStore{c.store.Client(name)}, GrantClient: &fakeGrantClient{c, name}, Reports: NewReports(),
-		Schema: Schema{ConfigKey: "config", ServersPrefix: "servers/",
+		Schema: Schema{OperatorPrefix: "operator/", ConfigKey: "operator/config", DecodeEvacuation: decodeEvacuation, ServersPrefix: "servers/",
 			DecodeConfig: func(value []byte, revision int64) (*routes.Config, error) {
 				text, two := strings.CutSuffix(string(value), twoServices)
 				version, err := strconv.ParseInt(text, 10, 64)
@@ -235,7 +236,7 @@
 					Born             int64
 				}
 				err := json.Unmarshal(kv.Value, &entry)
-				return registry.Server{ID: kv.Key[len("servers/"):], Service: cmp.Or(entry.Service, firstService), Address: entry.Address, Slots: 2, Incarnation: entry.Born}, err
+				return registry.Server{ID: kv.Key[len("servers/"):], Service: cmp.Or(entry.Service, firstService), Address: entry.Address, AvailabilityZone: zoneOf(kv.Key), Slots: 2, Incarnation: entry.Born}, err
 			}},
 		PeerClient: &http.Client{Transport: &peerTransport{c, name}},
 		Clock:      func() boottime.Instant { return boottime.Instant(time.Since(c.startedAt)) + 1 },
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -33,6 +33,7 @@
 			case n.maySucceed():
 				n.readEntries(ctx)
 			}
+			n.refreshEvacuations(ctx)
 			n.sleep(ctx, n.syncDelay())
 			return
 		}
@@ -103,6 +104,7 @@
 		request.Address, request.DispatchAddress, request.Capacity = "", "", 0
 	}
 	request.Known = n.addVersions(request.Known, n.baseServerList(true))
+	n.addEvacuations(request, newTerm)
 	n.Reports.drainInto(request)
 	request.Leaving = n.watchLeaving()
 	request.RateLimits = n.RateLimits.TakeUnreported(newTerm)
--- a/internal/control/identity_test.go
+++ b/internal/control/identity_test.go
@@ -21,7 +21,7 @@
 		c.startServerAt(fmt.Sprintf("addr-t%d", i), fmt.Sprintf("t%d", i), secondService)
 	}
 	c.mu.Unlock()
-	c.putEntry("config", "2"+twoServices)
+	c.putEntry("operator/config", "2"+twoServices)
 	time.Sleep(7 * time.Second)
 	return c
 }
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -26,8 +26,8 @@
 	// speeds. Dispatchers measure speeds too and use the received ones only at
 	// first.
 	speedUpdateInterval = 4 * time.Second
-	// configPollWait is how long one poll waits for a change of the
-	// configuration. It is short because a watch can stop delivering events
+	// configPollWait is how long one poll waits for a change of the operators'
+	// entries. It is short because a watch can stop delivering events
 	// without an error.
 	configPollWait = 900 * time.Millisecond
 	// hostWindow is how long after its last sync a host counts as live.
@@ -380,8 +380,8 @@
 	return s
 }
 
-// followConfig polls for changes of the configuration. After an error it reads
-// the configuration again, as changes may have been missed.
+// followConfig polls for changes of the operators' entries. After an error it lists
+// them again, as changes and deletions may have been missed.
 func (l *leadership) followConfig(ctx context.Context) {
 	n := l.node
 	after := int64(0)
@@ -393,13 +393,14 @@
 			}
 		}
 		startedAt := n.Clock()
-		batch, err := n.Store.Poll(ctx, n.Schema.ConfigKey, after, configPollWait)
+		batch, err := n.Store.Poll(ctx, n.Schema.OperatorPrefix, after, configPollWait)
 		n.recordStoreResult(err)
 		if err != nil {
 			after = 0
 			n.sleep(ctx, storeRetryDelay/4)
 			continue
 		}
+		n.applyEvacuationEvents(batch.Events, batch.Revision, startedAt)
 		for _, event := range batch.Events {
 			if event.Key == n.Schema.ConfigKey && !event.Deleted {
 				n.applyStoredConfig(event.KeyValue, startedAt)
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -131,6 +131,10 @@
 // candidates returns the servers that may get ranges, ordered by ID.
 func (m *assignmentManager) candidates(servers map[string]registry.Server) []shards.Candidate {
 	var out []shards.Candidate
+	snapshot := m.leadership.node.view.Load()
+	if !snapshot.Evacuations.Known() {
+		return nil
+	}
 	speeds := m.leadership.knownSpeeds()
 	limits := make(map[string]float64)
 	for _, limit := range m.leadership.node.RateLimits.Statuses() {
@@ -140,7 +144,7 @@
 	defer m.mu.Unlock()
 	for _, id := range slices.Sorted(maps.Keys(servers)) {
 		s := servers[id]
-		if h := m.holders[id]; s.Draining || h != nil && h.incarnation == s.Incarnation && h.failingSince != 0 {
+		if h := m.holders[id]; !snapshot.TakesNewRequests(s) || h != nil && h.incarnation == s.Incarnation && h.failingSince != 0 {
 			continue
 		}
 		speed, measured := speeds[id]
@@ -209,6 +213,10 @@
 		m.storeRetryAt = now.Add(bootstrapQuietPeriod / 4)
 		return false
 	}
+	if !m.leadership.node.view.Load().Evacuations.Known() {
+		m.storeRetryAt = now.Add(bootstrapQuietPeriod / 4)
+		return false
+	}
 	first := shards.InitialAssignment(m.candidates(servers))
 	if m.leadership.era() == store.FirstEra {
 		m.commit(ctx, first)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -89,8 +89,10 @@
 	// CutOff reports whether this host is cut off from all servers. Such a host
 	// does not lead while another can.
 	CutOff func() bool
-	Clock  boottime.Clock
-	Log    *zap.Logger
+	// EvacuationLimit is the time limit of evacuations; 0 means DefaultEvacuationLimit.
+	EvacuationLimit time.Duration
+	Clock           boottime.Clock
+	Log             *zap.Logger
 }
 
 // Node runs one host's part in the coordination of the deployment, as a
@@ -123,7 +125,9 @@
 	// needsFullState is true if received changes could not be applied to the
 	// state of this host.
 	needsFullState bool
-	// invalidEntries holds the keys of server entries that can't be decoded.
+	// leaderOmitsEvacuations is true if the leader runs a build without evacuations.
+	leaderOmitsEvacuations bool
+	// invalidEntries holds the keys of others' entries that can't be decoded.
 	invalidEntries map[string]bool
 	lastReadAt     boottime.Instant
 	storeEra       store.Era // latest known
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -30,10 +30,16 @@
 // Schema describes entries in the store that are written by others: their keys
 // and encodings.
 type Schema struct {
-	ConfigKey     string
-	ServersPrefix string
-	DecodeConfig  func(value []byte, revision int64) (*routes.Config, error)
-	DecodeServer  func(kv store.KeyValue) (registry.Server, error)
+	// OperatorPrefix is the prefix of the keys that operators write, ConfigKey among them.
+	OperatorPrefix string
+	ConfigKey      string
+	ServersPrefix  string
+	DecodeConfig   func(value []byte, revision int64) (*routes.Config, error)
+	DecodeServer   func(kv store.KeyValue) (registry.Server, error)
+	// DecodeEvacuation returns the availability zone that an operators' entry evacuates,
+	// whatever its value. It returns false if the key is none of an evacuation, and an
+	// error if the zone's name is invalid. Nil means that there are no evacuations.
+	DecodeEvacuation func(kv store.KeyValue) (zone string, isEvacuation bool, err error)
 }
 
 // GrantServer is a server that grants and releases are meant for.
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -19,6 +19,7 @@
 	if known == nil {
 		known = &fleetpb.Known{}
 	}
+	n.mergeEvacuations(evacuationsFromProto(r.Msg.Evacuations, r.Msg.EvacuationsRevision), 0)
 	l := n.currentLeadership()
 	if l != nil && known.Term > l.term {
 		l.stepDown("another host leads a later term")
@@ -139,6 +140,14 @@
 			out.HasServers, hasUpdate = true, true
 		}
 	}
+	if e := snapshot.Evacuations; e.Known() {
+		out.EvacuationsRevision, out.EvacuationsAgeMillis = e.Revision, now.Sub(snapshot.EvacuationsConfirmedAt).Milliseconds()
+		out.Known.Evacuations = e.Digest()
+		// Older builds state no digest. They would get the same update again and again.
+		if known.Evacuations != 0 && known.Evacuations != e.Digest() {
+			out.Evacuations, out.HasEvacuations, hasUpdate = evacuationsToProto(e), true, true
+		}
+	}
 	for service, a := range snapshot.Assignments {
 		base := known.Assignments[service]
 		if base >= a.Version {
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -33,6 +33,7 @@
 	if snapshot.Config != nil {
 		out.Config, out.ConfigVersion = snapshot.Config.Revision, snapshot.Config.Version
 	}
+	out.Evacuations = snapshot.Evacuations.Digest()
 	n.mu.Lock()
 	full := n.needsFullState
 	n.mu.Unlock()
@@ -70,6 +71,7 @@
 		return
 	}
 	n.view.setTerm(response.Term)
+	n.applyEvacuations(response, sentAt)
 	configAt := sentAt.Add(-clampAge(response.ConfigAgeMillis))
 	if len(response.Config) > 0 {
 		config, err := n.Schema.DecodeConfig(response.Config, response.Known.Config)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -31,6 +31,10 @@
 	// configuration and the servers.
 	ConfigConfirmedAt  boottime.Instant
 	ServersConfirmedAt boottime.Instant
+	// Evacuations are the evacuated availability zones, which the store last confirmed at
+	// EvacuationsConfirmedAt.
+	Evacuations            Evacuations
+	EvacuationsConfirmedAt boottime.Instant
 	// ServersGap is the last time for which nobody known to this host has confirmed the
 	// servers, if it was long enough for entries to expire; zero if there was none. It may
 	// have been an outage of the store.
@@ -45,10 +49,10 @@
 }
 
 // CanRoute reports whether the state is complete enough to route requests: the
-// configuration, the servers and the assignments of all services with owned
-// keys are known.
+// configuration, the servers, the evacuated zones and the assignments of all
+// services with owned keys are known.
 func (s *Snapshot) CanRoute() bool {
-	if s.Config == nil || s.Servers == nil {
+	if s.Config == nil || s.Servers == nil || !s.Evacuations.Known() {
 		return false
 	}
 	for _, service := range s.Config.Services {
@@ -82,9 +86,13 @@
 	return v
 }
 
-// NewStaticView returns a View of one Snapshot, for hosts without a store.
+// NewStaticView returns a View of one Snapshot, for hosts without a store. If the
+// Snapshot has no evacuations, none is in force.
 func NewStaticView(snapshot Snapshot) *View {
 	v := NewView()
+	if !snapshot.Evacuations.Known() {
+		snapshot.Evacuations = NewEvacuations(1, nil)
+	}
 	v.current.Store(&snapshot)
 	return v
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -35,6 +35,9 @@
 	noConfigRetryAfter = 300 * time.Millisecond
 	// noPathRetryAfter is the Retry-After value while no host reaches the servers.
 	noPathRetryAfter = time.Second
+	// evacuatedRetryAfter is the Retry-After value while all servers of a service are in
+	// evacuated availability zones.
+	evacuatedRetryAfter = time.Second
 	// lateDrainPeriod is how long after the begin of a planned stop the load balancer
 	// has removed the host. Requests then come on kept connections only, and their
 	// callers reach another host at once.
@@ -100,7 +103,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	snapshot := h.View.Load()
-	if snapshot.Config == nil || snapshot.Servers == nil {
+	if snapshot.Config == nil || snapshot.Servers == nil || !snapshot.Evacuations.Known() {
 		h.writeError(w, nil, r, &apierror.Error{Kind: apierror.KindStaleHost, Detail: "no configuration yet", RetryAfter: noConfigRetryAfter})
 		return
 	}
@@ -132,6 +135,9 @@
 // forward sends the request to servers until one responds or no retry is allowed.
 func (h *Handler) forward(ctx context.Context, snapshot *control.Snapshot, q *request) (exchange.Result, *apierror.Error) {
 	for {
+		if h.ServerPools.isEvacuated(q.service) {
+			return exchange.Result{}, evacuatedError(q)
+		}
 		q.stage = h.waitingStage(q.service)
 		decision, ticket := h.Placer.Acquire(ctx, q.placement)
 		if ctx.Err() != nil {
@@ -140,6 +146,9 @@
 			}
 			return exchange.Result{}, apierror.New(apierror.KindCanceled, "the caller left while the request waited")
 		}
+		if decision.Server == "" && h.ServerPools.isEvacuated(q.service) {
+			return exchange.Result{}, evacuatedError(q)
+		}
 		if decision.Server == "" {
 			return exchange.Result{}, h.placementError(q, decision)
 		}
@@ -197,12 +206,19 @@
 		q.heldOff = left
 		return h.skipServer(q, decision, ticket, errHeldOff)
 	}
+	if hasKey := q.position != dispatch.NoPosition; !h.ServerPools.isUsable(server, hasKey) {
+		if !hasKey {
+			// The dispatcher does not know of the evacuation yet.
+			q.placement.Exclude = append(q.placement.Exclude, h.ServerPools.evacuatedServers(q.service)...)
+		}
+		return h.skipServer(q, decision, ticket, errServerWithdrawn)
+	}
 	q.upstream.Deadline, q.upstream.ExpectedInstance = q.deadline, server.ID
 	q.upstream.BeforeSend = func() error {
 		switch {
 		case q.caller.hasLeft():
 			return context.Canceled
-		case !h.ServerPools.isUsable(server):
+		case !h.ServerPools.isUsable(server, q.position != dispatch.NoPosition):
 			return errServerWithdrawn
 		default:
 			return nil
@@ -239,8 +255,8 @@
 	return result
 }
 
-// errServerWithdrawn reports that a server was found to leave, or to be gone, while the
-// connection to it was being opened.
+// errServerWithdrawn reports that a server was found to leave, to be gone or to be
+// evacuated after it was chosen, for example while the connection to it was opened.
 var errServerWithdrawn = errors.New("the server is not to be used any more")
 
 // skipServer gives back a server that was chosen for the request, without sending.
@@ -251,6 +267,12 @@
 	return exchange.Result{Outcome: exchange.NotSent, Err: reason}
 }
 
+// evacuatedError returns the error of a request to a service all of whose servers are
+// in evacuated availability zones.
+func evacuatedError(q *request) *apierror.Error {
+	return &apierror.Error{Kind: kindIfNotExecuted(q.attempts, apierror.KindNoUpstream), Detail: "all servers of the service are evacuated", RetryAfter: evacuatedRetryAfter}
+}
+
 // observeRateLimit records what the result says about the server's rate limit.
 func (h *Handler) observeRateLimit(server ratelimit.Server, result exchange.Result, took time.Duration) {
 	if result.Sent {
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -84,7 +84,7 @@
 		map[string][]routes.Route{"a.example": {route("safe", routes.Safe), route("unsafe", routes.Unsafe)}})
 	snapshot := control.Snapshot{Config: config, Servers: list, HostCount: 1}
 	local, central := dispatch.NewDispatcher(), dispatch.NewDispatcher()
-	pools := NewServerPools(&headerNames, options.dial, local, central, nil)
+	pools := NewServerPools(&headerNames, options.dial, local, central, nil, boottime.Now)
 	pools.Update(&snapshot)
 	metrics, err := telemetry.NewMetrics()
 	assert.NilError(t, err)
@@ -300,16 +300,16 @@
 func TestHoldOffOutlivesAMissingEntry(t *testing.T) {
 	holdOffs, now := newHoldOffs(), time.Now()
 	server := ratelimit.Server{ID: "a", Service: "svc", Incarnation: 1}
-	pools := NewServerPools(&headerNames, exchange.Dial, dispatch.NewDispatcher(), dispatch.NewDispatcher(), nil)
+	pools := NewServerPools(&headerNames, exchange.Dial, dispatch.NewDispatcher(), dispatch.NewDispatcher(), nil, boottime.Now)
 	holdOffs.add(server, now.Add(3*time.Second))
 	ids, first := holdOffs.active("svc", now.Add(time.Second), pools.isReplaced)
 	assert.Equal(t, len(ids), 1)
 	assert.Equal(t, first, 2*time.Second)
-	pools.updatePools(registry.NewList(map[string]registry.Server{"a": {ID: "a", Service: "svc", Address: "x", Incarnation: 1}}))
+	pools.updatePools(&control.Snapshot{Servers: registry.NewList(map[string]registry.Server{"a": {ID: "a", Service: "svc", Address: "x", Incarnation: 1}})})
 	ids, _ = holdOffs.active("svc", now.Add(time.Second), pools.isReplaced)
 	assert.Equal(t, len(ids), 1)
 	assert.Equal(t, holdOffs.left(server, now.Add(time.Second)), 2*time.Second)
-	pools.updatePools(registry.NewList(map[string]registry.Server{"a": {ID: "a", Service: "svc", Address: "x", Incarnation: 2}}))
+	pools.updatePools(&control.Snapshot{Servers: registry.NewList(map[string]registry.Server{"a": {ID: "a", Service: "svc", Address: "x", Incarnation: 2}})})
 	ids, _ = holdOffs.active("svc", now.Add(time.Second), pools.isReplaced)
 	assert.Equal(t, len(ids), 0)
 }
--- a/internal/entry/serverpools.go
+++ b/internal/entry/serverpools.go
@@ -6,11 +6,11 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
-	"github.com/cassiasill/cassiasill/internal/registry"
 	"github.com/cassiasill/cassiasill/internal/shards"
 )
 
@@ -37,11 +37,14 @@
 	// to this host.
 	local, central     *dispatch.Dispatcher
 	onConnectionOpened func()
+	clock              boottime.Clock // that of the snapshots
 	background         conc.WaitGroup
 
 	mu           sync.Mutex
 	pools        map[string]*serverPool // by server ID
 	lastSnapshot *control.Snapshot      // last one passed to Update
+	// evacuated holds the services all of whose servers are in evacuated zones.
+	evacuated map[string]bool
 }
 
 // serverPool is the connection pool of one incarnation of a server.
@@ -49,12 +52,16 @@
 	pool    *exchange.Pool
 	address string
 	server  ratelimit.Server
+	// keysOnly is true if the server is in an evacuated zone. It then gets requests for
+	// the keys that it holds until keysUntil, and no others.
+	keysOnly  bool
+	keysUntil boottime.Instant
 }
 
 // NewServerPools returns an empty set of pools. onConnectionOpened, if not nil, is
-// called for each new connection.
-func NewServerPools(headerNames *exchange.HeaderNames, dial exchange.DialFunc, local, central *dispatch.Dispatcher, onConnectionOpened func()) *ServerPools {
-	return &ServerPools{headerNames: headerNames, dial: dial, local: local, central: central, onConnectionOpened: onConnectionOpened, pools: make(map[string]*serverPool)}
+// called for each new connection. The clock is that of the snapshots.
+func NewServerPools(headerNames *exchange.HeaderNames, dial exchange.DialFunc, local, central *dispatch.Dispatcher, onConnectionOpened func(), clock boottime.Clock) *ServerPools {
+	return &ServerPools{headerNames: headerNames, dial: dial, local: local, central: central, onConnectionOpened: onConnectionOpened, clock: clock, pools: make(map[string]*serverPool)}
 }
 
 // Pool returns the connection pool of a server and the incarnation that it connects
@@ -69,12 +76,33 @@
 	return p.pool, p.server, true
 }
 
-// isUsable reports whether the process of the server is listed and takes requests.
-func (s *ServerPools) isUsable(server ratelimit.Server) bool {
+// isUsable reports whether the process of the server is listed and takes requests, with
+// or without a key.
+func (s *ServerPools) isUsable(server ratelimit.Server, hasKey bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pools[server.ID]
-	return p != nil && p.server == server
+	return p != nil && p.server == server && (!p.keysOnly || hasKey && !s.evacuated[server.Service] && s.clock() < p.keysUntil)
+}
+
+// isEvacuated reports whether all servers of the service are in evacuated zones.
+func (s *ServerPools) isEvacuated(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuated[service]
+}
+
+// evacuatedServers returns the IDs of the service's servers that take no requests without
+// a key because their zones are evacuated.
+func (s *ServerPools) evacuatedServers(service string) (ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, p := range s.pools {
+		if p.keysOnly && p.server.Service == service {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // isReplaced reports whether another process of the server is listed.
@@ -92,12 +120,13 @@
 	}
 	previous := s.lastSnapshot
 	s.lastSnapshot = snapshot
-	if previous != nil && previous.Servers == snapshot.Servers && previous.Config == snapshot.Config && previous.HostCount == snapshot.HostCount {
+	sameZones := previous != nil && previous.Evacuations.Digest() == snapshot.Evacuations.Digest()
+	if sameZones && previous.Servers == snapshot.Servers && previous.Config == snapshot.Config && previous.HostCount == snapshot.HostCount {
 		s.updateOwners(previous, snapshot)
 		return
 	}
-	if previous == nil || previous.Servers != snapshot.Servers {
-		s.updatePools(snapshot.Servers)
+	if !sameZones || previous.Servers != snapshot.Servers {
+		s.updatePools(snapshot)
 	}
 	byService := make(map[string][]dispatch.Server)
 	for _, server := range snapshot.Servers.Servers {
@@ -105,7 +134,7 @@
 			continue
 		}
 		byService[server.Service] = append(byService[server.Service], dispatch.Server{ID: server.ID, Zone: server.AvailabilityZone,
-			Slots: server.Slots, Speed: server.Speed, Warmup: server.Warmup})
+			Slots: server.Slots, Speed: server.Speed, Warmup: server.Warmup, KeysOnly: !snapshot.TakesNewRequests(server)})
 	}
 	hosts := snapshot.HostCount
 	if hosts < 1 {
@@ -115,7 +144,7 @@
 	for name, service := range snapshot.Config.Services {
 		var owner func(int) dispatch.OwnerState
 		if service.HasKeyOwners {
-			owner = ownerLookup(snapshot, snapshot.Assignments[name])
+			owner = s.ownerLookup(snapshot, snapshot.Assignments[name], s.evacuated[name])
 		}
 		s.local.SetService(name, share, 0, owner, byService[name])
 		s.central.SetService(name, 1, centralExtraSlots, owner, byService[name])
@@ -129,15 +158,19 @@
 		if service := snapshot.Config.Services[name]; !service.HasKeyOwners || previous.Assignments[name] == assignment {
 			continue
 		}
-		owner := ownerLookup(snapshot, assignment)
+		owner := s.ownerLookup(snapshot, assignment, s.evacuated[name])
 		s.local.SetOwner(name, owner)
 		s.central.SetOwner(name, owner)
 	}
 }
 
-// ownerLookup returns a function that finds the owner of a key position.
-func ownerLookup(snapshot *control.Snapshot, assignment *shards.Assignment) func(position int) dispatch.OwnerState {
+// ownerLookup returns a function that finds the owner of a key position. If all servers
+// of the service are evacuated, there is no owner and none to wait for.
+func (s *ServerPools) ownerLookup(snapshot *control.Snapshot, assignment *shards.Assignment, evacuated bool) func(position int) dispatch.OwnerState {
 	return func(position int) dispatch.OwnerState {
+		if evacuated {
+			return dispatch.OwnerState{}
+		}
 		if assignment == nil {
 			return dispatch.OwnerState{Moving: true, ExpectedWait: lostOwnerWait}
 		}
@@ -146,7 +179,7 @@
 		switch {
 		case !listed || server.Incarnation != r.Incarnation:
 			return dispatch.OwnerState{Moving: true, ExpectedWait: lostOwnerWait}
-		case !r.Held() || server.Draining:
+		case !r.Held() || !snapshot.TakesNewRequests(server) && s.clock() >= snapshot.TakesKeysUntil(server):
 			return dispatch.OwnerState{Moving: true, ExpectedWait: movingOwnerWait}
 		}
 		return dispatch.OwnerState{Server: r.Owner}
@@ -154,10 +187,13 @@
 }
 
 // updatePools closes the pools of servers that are gone, draining, moved or
-// restarted, and opens pools for new ones.
-func (s *ServerPools) updatePools(list *registry.List) {
+// restarted, and opens pools for new ones. Servers in evacuated zones keep theirs: they
+// have requests in flight, and the evacuation may be withdrawn.
+func (s *ServerPools) updatePools(snapshot *control.Snapshot) {
+	list := snapshot.Servers
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.evacuated = snapshot.FullyEvacuated()
 	for id, p := range s.pools {
 		server, ok := list.Servers[id]
 		if !ok || server.Draining || server.Address != p.address || server.Incarnation != p.server.Incarnation {
@@ -172,6 +208,9 @@
 		s.pools[id] = &serverPool{address: server.Address, server: ratelimit.Server{ID: id, Service: server.Service, Incarnation: server.Incarnation},
 			pool: exchange.NewPool(server.Address, s.headerNames, s.dial, &s.background, s.onConnectionOpened)}
 	}
+	for id, p := range s.pools {
+		p.keysOnly, p.keysUntil = !snapshot.TakesNewRequests(list.Servers[id]), snapshot.TakesKeysUntil(list.Servers[id])
+	}
 }
 
 // CloseExpiredConns closes connections that have been idle for too long.
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -58,6 +58,9 @@
 	RetryWindow time.Duration
 	// GracePeriod is the time within which the process must stop.
 	GracePeriod time.Duration
+	// EvacuationLimit is the time after the store's response to the operator from which
+	// on no request may be written to a server of an evacuated zone; 0 means the default.
+	EvacuationLimit time.Duration
 	// Listen and Dial are the host's network; the zero Listen is that of the operating
 	// system.
 	Listen ListenFunc
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -147,9 +147,15 @@
 		{"control.store_era", "Latest era of the store; it rises when the store is restored from an older copy.", func(*control.Snapshot) float64 {
 			return float64(node.StoreEra())
 		}},
-		{"control.invalid_entries", "Server entries that this host has read last and can't decode.", func(*control.Snapshot) float64 {
+		{"control.invalid_entries", "Entries of servers and operators that this host has read last and can't decode.", func(*control.Snapshot) float64 {
 			return float64(len(node.InvalidEntries()))
 		}},
+		{"control.evacuated_zones", "Evacuated availability zones that this host knows.", func(s *control.Snapshot) float64 {
+			return float64(len(s.Evacuations.Zones()))
+		}},
+		{"control.evacuations_age_seconds", "Time since the store last confirmed the evacuated zones.", func(s *control.Snapshot) float64 {
+			return node.Clock().Sub(s.EvacuationsConfirmedAt).Seconds()
+		}},
 		{"control.hosts", "Hosts that share the work.", func(s *control.Snapshot) float64 { return float64(s.HostCount) }},
 	}
 	for _, g := range gauges {
@@ -162,6 +168,9 @@
 			return err
 		}
 	}
+	if err := registerZoneGauges(meter, node); err != nil {
+		return err
+	}
 	_, err := meter.Int64ObservableCounter("control.misdirected_calls", metric.WithDescription("Grants and releases withheld because who was at the server's address was not proven to be the server."),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 			o.Observe(node.MisdirectedCalls())
@@ -170,7 +179,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = meter.Float64ObservableGauge("control.invalid_entry", metric.WithDescription("1 for each of the first server entries that this host can't decode."),
+	_, err = meter.Float64ObservableGauge("control.invalid_entry", metric.WithDescription("1 for each of the first entries that this host can't decode."),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
 			keys := node.InvalidEntries()
 			for _, key := range keys[:min(len(keys), maxNamedEntries)] {
@@ -181,5 +190,35 @@
 	return err
 }
 
+// registerZoneGauges registers gauges of each evacuated zone, whose number is bounded.
+func registerZoneGauges(meter metric.Meter, node *control.Node) error {
+	gauges := []struct {
+		name, description string
+		value             func(s *control.Snapshot, zone string) float64
+	}{
+		{"control.evacuation_seconds", "Time since this host learned of the evacuation of the zone.", func(s *control.Snapshot, zone string) float64 {
+			state, _ := s.Evacuations.Get(zone)
+			return node.Clock().Sub(state.KnownSince).Seconds()
+		}},
+		{"control.evacuated_servers_with_keys", "Servers of the evacuated zone that still hold keys.", func(s *control.Snapshot, zone string) float64 {
+			return float64(s.EvacuatedServersWithKeys(zone))
+		}},
+	}
+	for _, g := range gauges {
+		_, err := meter.Float64ObservableGauge(g.name, metric.WithDescription(g.description),
+			metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+				snapshot := node.View().Load()
+				for _, zone := range snapshot.Evacuations.Zones() {
+					o.Observe(g.value(snapshot, zone), metric.WithAttributes(attribute.String("zone", zone)))
+				}
+				return nil
+			}))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // maxNamedEntries bounds the invalid entries that are named in the metrics.
 const maxNamedEntries = 20
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -34,7 +34,7 @@
 	return &controlService{options: options, node: control.NewNode(control.Options{
 		Host: options.Name, Address: options.PeerAddress, DispatchAddress: options.DispatchAddress, Capacity: options.CapacityCores,
 		Seeds: options.Seeds, Store: options.Store, Schema: options.Schema, GrantClient: options.GrantClient,
-		Reports: control.NewReports(), RateLimits: limits, PeerClient: exchange.NewClient(options.Dial), CutOff: options.Reach.IsCut, Clock: options.Clock, Log: options.Log,
+		Reports: control.NewReports(), RateLimits: limits, PeerClient: exchange.NewClient(options.Dial), CutOff: options.Reach.IsCut, EvacuationLimit: options.EvacuationLimit, Clock: options.Clock, Log: options.Log,
 	})}
 }
 
@@ -63,15 +63,15 @@
 	return nil
 }
 
-// isServer reports whether a listed server that is not draining has the address.
+// isServer reports whether a listed server that takes new requests has the address.
 func (s *controlService) isServer(address string) bool {
-	list := s.node.View().Load().Servers
-	if list == nil {
+	snapshot := s.node.View().Load()
+	if snapshot.Servers == nil || !snapshot.Evacuations.Known() {
 		return false
 	}
-	for _, server := range list.Servers {
+	for _, server := range snapshot.Servers.Servers {
 		if server.Address == address {
-			return !server.Draining
+			return snapshot.TakesNewRequests(server)
 		}
 	}
 	return false
@@ -157,7 +157,7 @@
 	}
 	s.node = controls.Node()
 	s.dialer = detour.NewDialer(s.options.Reach, s.options.Dial, s.node.DetourPeers, s.options.Metrics.countUsedDetour)
-	pools := entry.NewServerPools(&s.options.HeaderNames, s.dialer.Dial, local, central, s.metrics.CountConnection)
+	pools := entry.NewServerPools(&s.options.HeaderNames, s.dialer.Dial, local, central, s.metrics.CountConnection, s.options.Clock)
 	s.options.Reach.OnChange(func(cut bool, failed int) {
 		s.logCut(cut, failed)
 		pools.CloseIdleConns()
