--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -66,6 +66,20 @@
 	HasKeyOwners bool
 	// HealthPath is the path at which its servers name themselves.
 	HealthPath string
+	// Warmup is what its servers bear while they are cold.
+	Warmup Warmup
+}
+
+// Warmup describes the cold servers of a service: they are slow and fail under a rate
+// that warm ones bear. The zero value sets no limit.
+type Warmup struct {
+	// Duration is the longest time that a server is cold; 0 if unknown.
+	Duration time.Duration
+	// Rate is how many requests per second of all hosts a cold server bears in the
+	// long run; 0 if there is no limit.
+	Rate float64
+	// MaxPerSecond is how many requests of all hosts it bears in any one second.
+	MaxPerSecond float64
 }
 
 // Limits bounds the requests and connections of callers.
