Pace the requests to cold servers

Nothing counted the requests that a cold server gets, and the scheduler read the warmup only when it first saw a server. The list's turns to cold and to warm now start and end the warmup of a service that states what its cold servers bear, and such a server has a pace: one token bucket or turn with the announced rate limit, at the lower rate and the smaller burst. The burst is chosen so that a dispatcher, its successor and hosts without either stay within the bound for any one second. A dispatcher says that it keeps the pace; under one of an older build a host takes its own turn, and names all cold servers that are out of turn at once, each one time: the dispatcher counts what is excluded.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -23,6 +23,8 @@
 	callbacks  map[uint64]func(Decision) // by request ID
 	wake       chan struct{}             // wakes Run when a request stays queued
 	rateLimits map[string]float64        // by server
+	// onWarmup is told the turns of servers to cold and to warm.
+	onWarmup func(WarmupTransition)
 }
 
 // NewDispatcher returns a Dispatcher without services.
@@ -38,6 +40,17 @@
 
 // SetService creates or updates the Scheduler of a service.
 func (d *Dispatcher) SetService(service string, share float64, extra int, owner func(position int) OwnerState, servers []Server) {
+	onWarmup, transitions := d.setService(service, share, extra, owner, servers)
+	for _, t := range transitions {
+		if t.Service = service; onWarmup != nil {
+			onWarmup(t)
+		}
+	}
+}
+
+// setService is SetService and returns the turns of servers to cold and to warm, which
+// are passed on without the lock.
+func (d *Dispatcher) setService(service string, share float64, extra int, owner func(position int) OwnerState, servers []Server) (func(WarmupTransition), []WarmupTransition) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	scheduler := d.schedulers[service]
@@ -50,6 +63,24 @@
 	scheduler.ownerAt = owner
 	scheduler.SetShare(d.Now(), share, extra)
 	d.deliver(scheduler.SetServers(d.Now(), servers))
+	return d.onWarmup, scheduler.takeTransitions()
+}
+
+// OnWarmup calls f for each turn of a server to cold or to warm.
+func (d *Dispatcher) OnWarmup(f func(WarmupTransition)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.onWarmup = f
+}
+
+// WarmupCounts returns the counts of requests that concern cold servers, of all services.
+func (d *Dispatcher) WarmupCounts() (total WarmupCounts) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, scheduler := range d.schedulers {
+		total.add(scheduler.warmupCounts())
+	}
+	return total
 }
 
 // SetOwner replaces the function that returns the owners of a service's keys.
@@ -87,16 +118,27 @@
 }
 
 // TakeTurn counts a request to a server that another dispatcher chose without regard
-// to its limit. It returns false, and when to retry, if the limit does not allow it.
-func (d *Dispatcher) TakeTurn(service, server string) (retryAfter time.Duration, ok bool) {
+// to its limit, or, if coldOnly is true, to its pace while it is cold. It returns false,
+// and when to retry, if the limit does not allow it.
+func (d *Dispatcher) TakeTurn(service, server string, coldOnly bool) (retryAfter time.Duration, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if scheduler := d.schedulers[service]; scheduler != nil {
-		return scheduler.TakeTurn(d.Now(), server)
+		return scheduler.TakeTurn(d.Now(), server, coldOnly)
 	}
 	return 0, true
 }
 
+// OutOfTurn returns the servers of a service to which TakeTurn allows no request now.
+func (d *Dispatcher) OutOfTurn(service string, coldOnly bool) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if scheduler := d.schedulers[service]; scheduler != nil {
+		return scheduler.OutOfTurn(d.Now(), coldOnly)
+	}
+	return nil
+}
+
 // Acquire waits for a server for the request. After a decision that names a
 // server, Release must be called with the returned ID.
 func (d *Dispatcher) Acquire(ctx context.Context, request Request) (Decision, uint64) {
--- a/internal/dispatch/pacer.go
+++ b/internal/dispatch/pacer.go
@@ -26,8 +26,9 @@
 	delay(now Instant, ahead int) time.Duration
 	// take counts a request that is sent.
 	take(now Instant)
-	// setRate changes the rate, in requests per second.
-	setRate(now Instant, rate float64)
+	// setRate changes the rate, in requests per second, and how many requests may be
+	// sent at once after a pause.
+	setRate(now Instant, rate, burst float64)
 	// interval is the mean time between two requests.
 	interval() time.Duration
 }
@@ -35,17 +36,16 @@
 // tokenBucket paces the requests of all hosts. It starts empty, because other hosts
 // may just have sent what the limit allows.
 type tokenBucket struct {
-	rate, tokens float64
-	updatedAt    Instant
+	rate, burst, tokens float64
+	updatedAt           Instant
 }
 
-func newTokenBucket(now Instant, rate float64) *tokenBucket {
-	return &tokenBucket{rate: rate, updatedAt: now}
+func newTokenBucket(now Instant, rate, burst float64) *tokenBucket {
+	return &tokenBucket{rate: rate, burst: burst, updatedAt: now}
 }
 
 func (b *tokenBucket) refill(now Instant) {
-	burst := max(1, b.rate*burstWindow.Seconds())
-	b.tokens = min(b.tokens+now.Sub(b.updatedAt).Seconds()*b.rate, burst)
+	b.tokens = min(b.tokens+now.Sub(b.updatedAt).Seconds()*b.rate, b.burst)
 	b.updatedAt = now
 }
 
@@ -59,9 +59,9 @@
 	b.tokens--
 }
 
-func (b *tokenBucket) setRate(now Instant, rate float64) {
+func (b *tokenBucket) setRate(now Instant, rate, burst float64) {
 	b.refill(now)
-	b.rate = rate
+	b.rate, b.burst = rate, burst
 }
 
 func (b *tokenBucket) interval() time.Duration { return fromSeconds(1 / b.rate) }
@@ -98,7 +98,7 @@
 	t.next = t.next.Add(t.period)
 }
 
-func (t *turns) setRate(now Instant, rate float64) {
+func (t *turns) setRate(now Instant, rate, _ float64) {
 	t.skipLapsed(now)
 	period := fromSeconds(1 / rate)
 	t.next = now.Add(time.Duration(float64(t.next.Sub(now)) * (float64(period) / float64(t.period))))
--- a/internal/dispatch/pacer_test.go
+++ b/internal/dispatch/pacer_test.go
@@ -179,7 +179,7 @@
 // Guards against a burst after a pause or a change of the limit.
 func TestTokenBucketBounds(t *testing.T) {
 	for _, rate := range []float64{0.2, 1, 3, 50} {
-		b := newTokenBucket(0, rate)
+		b := newTokenBucket(0, rate, limitBurst(rate))
 		sent, now := 0, 60*second
 		for ; now < 64*second; now += ms {
 			for b.delay(now, 0) == 0 {
@@ -190,8 +190,8 @@
 		assert.Assert(t, float64(sent) <= 4*rate+max(1, rate/2)+1, "rate %g: %d requests in 4 s", rate, sent)
 		assert.Assert(t, float64(sent) >= 4*rate-1, "rate %g: %d requests in 4 s", rate, sent)
 	}
-	b := newTokenBucket(0, 1000)
-	b.setRate(10*second, 1)
+	b := newTokenBucket(0, 1000, limitBurst(1000))
+	b.setRate(10*second, 1, limitBurst(1))
 	assert.Assert(t, b.delay(10*second, 1) > 0, "the tokens of a former limit are spent under a lower one")
 }
 
--- a/internal/dispatch/ratelimit.go
+++ b/internal/dispatch/ratelimit.go
@@ -11,7 +11,11 @@
 	maxLocalRetryAfter = 2 * time.Second
 )
 
-// rateLimit is the limit of one server in a Scheduler.
+// limitBurst returns how many requests a limit allows at once after a pause.
+func limitBurst(rate float64) float64 { return max(1, rate*burstWindow.Seconds()) }
+
+// rateLimit is the limit of one server in a Scheduler: the one that it announces, its
+// pace while it is cold, or the lower of both.
 type rateLimit struct {
 	pacer
 	// local is true if the requests of other hosts are not known.
@@ -54,10 +58,14 @@
 	return sched.Reschedule(now)
 }
 
-// updatePace adapts the pace of requests to a server to its limit and to this
-// Scheduler's share.
+// updatePace adapts the pace of requests to a server to its limit, to what it bears
+// while it is cold, and to this Scheduler's share.
 func (sched *Scheduler) updatePace(now Instant, s *serverState) {
 	rate, local := sched.rateLimits[s.ID], sched.slotShare < 1
+	burst := limitBurst(rate)
+	if s.isCold() {
+		rate, burst = s.coldPace(rate)
+	}
 	if local {
 		rate *= sched.slotShare * localRateShare
 	}
@@ -65,11 +73,11 @@
 	case rate <= 0:
 		s.limit = nil
 	case s.limit != nil && s.limit.local == local:
-		s.limit.setRate(now, rate)
+		s.limit.setRate(now, rate, burst)
 	case local:
 		s.limit = &rateLimit{pacer: newTurns(now, rate, hashToUnit(sched.seed, s.ID)), local: true}
 	default:
-		s.limit = &rateLimit{pacer: newTokenBucket(now, rate)}
+		s.limit = &rateLimit{pacer: newTokenBucket(now, rate, burst)}
 	}
 }
 
@@ -93,15 +101,19 @@
 }
 
 // TakeTurn counts a request to a server that another dispatcher chose without regard
-// to its limit. It returns false, and when to retry, if the limit does not allow it.
-func (sched *Scheduler) TakeTurn(now Instant, server string) (retryAfter time.Duration, ok bool) {
+// to its limit, or, if coldOnly is true, to its pace while it is cold. It returns false,
+// and when to retry, if the limit does not allow it.
+func (sched *Scheduler) TakeTurn(now Instant, server string, coldOnly bool) (retryAfter time.Duration, ok bool) {
 	s := sched.servers[server]
-	if s == nil || s.limit == nil {
+	if s == nil || s.limit == nil || coldOnly && !s.isCold() {
 		return 0, true
 	}
 	if wait := s.paceDelay(now, 0); wait > 0 {
+		if s.isCold() {
+			sched.warmups.Rejected++
+		}
 		return s.limit.retryAfter(now, wait), false
 	}
-	s.limit.take(now)
+	sched.take(now, s, 0)
 	return 0, true
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -84,9 +84,16 @@
 	Slots int
 	// Speed is the known speed relative to the service's mean; 0 if unknown.
 	Speed float64
-	// Warmup is how long the server stays slow from now on; it counts only when the
-	// Scheduler first sees the server.
+	// Incarnation distinguishes the processes of the server.
+	Incarnation int64
+	// Warmup is how long the server stays slow from now on, 0 if it is warm. While it
+	// is not 0 and WarmupRate is set, the server counts as cold. Without WarmupRate it
+	// matters only when the Scheduler first sees the server.
 	Warmup time.Duration
+	// WarmupRate is how many requests per second of all hosts the server bears while
+	// it is cold; 0 if there is no limit. WarmupMax is how many it bears in any one
+	// second.
+	WarmupRate, WarmupMax float64
 }
 
 // Outcome is how a request ended at a server.
@@ -188,6 +195,7 @@
 	offeredLoad         loadMeter // of requests for the server's keys
 	connections         idleConnections
 	limit               *rateLimit // nil if the server has none
+	sentCold            int64      // requests since the server turned cold
 }
 
 // queuedRequest is a request in a queue.
@@ -216,6 +224,12 @@
 	// that are not listed yet. Seed spreads the turns of hosts.
 	rateLimits map[string]float64
 	seed       uint64
+	// warmups counts requests that concern cold servers; transitions holds the turns of
+	// servers to cold and to warm that have not been taken. lastSubmitAt is when the
+	// latest request came.
+	warmups      WarmupCounts
+	transitions  []WarmupTransition
+	lastSubmitAt Instant
 }
 
 // inFlightRequest is a request that has been assigned to a server.
@@ -253,7 +267,7 @@
 	for _, listed := range list {
 		s := sched.servers[listed.ID]
 		if s == nil {
-			s = &serverState{Server: Server{ID: listed.ID}, warmupEnd: now.Add(listed.Warmup)}
+			s = &serverState{Server: Server{ID: listed.ID, Incarnation: listed.Incarnation}, warmupEnd: now.Add(listed.Warmup)}
 			s.assumeSpeed(1, assumedWork)
 			sched.updatePace(now, s)
 		}
@@ -261,7 +275,9 @@
 		if listed.Speed > 0 && listed.Speed != s.Speed && (sched.slotShare < 1 || s.sampleCount < minOwnSamples) {
 			s.assumeSpeed(listed.Speed, assumedWork)
 		}
+		previous := s.Server
 		s.Server = listed
+		sched.updateWarmup(now, s, previous)
 		next[listed.ID] = s
 	}
 	sched.servers = next
@@ -276,6 +292,7 @@
 // Submit queues the request and returns the resulting decisions, the one about the
 // request itself among them if it need not wait.
 func (sched *Scheduler) Submit(now Instant, request Request) []Decision {
+	sched.noteSubmit(now)
 	sched.offeredLoad.add(now, request.Work)
 	if s := sched.owningServer(request); s != nil {
 		s.offeredLoad.add(now, request.Work)
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -176,7 +176,7 @@
 	late := end > r.Target && (limiting == nil || r.enqueuedAt == snap.now)
 	if end > r.Deadline || late && sched.offeredLoad.current(snap.now) > fullLoadRatio*snap.capacity {
 		if limiting != nil && delay == wait {
-			return reject(decision, ReasonRateLimited, limiting.limit.retryAfter(snap.now, wait)), true
+			return sched.rejectPaced(snap.now, limiting, decision, wait), true
 		}
 		return reject(decision, ReasonOverload, wait), true
 	}
@@ -227,7 +227,7 @@
 	late := end > r.Target && (s.limit == nil || r.enqueuedAt == now)
 	if end > r.Deadline || late && s.offeredLoad.current(now) > fullLoadRatio*s.workCapacity(now, sched.slotShare, r.Work.Seconds()) {
 		if s.limit != nil && delay == wait {
-			return reject(decision, ReasonRateLimited, s.limit.retryAfter(now, wait)), true
+			return sched.rejectPaced(now, s, decision, wait), true
 		}
 		return reject(decision, ReasonOverload, wait), true
 	}
@@ -247,9 +247,7 @@
 	sched.inFlight[r.ID] = inFlightRequest{server: s.ID, hostID: r.HostID, assignedAt: now, work: r.Work, saturated: s.inFlightCount >= s.Slots}
 	s.inFlightCount++
 	s.lastAssignedAt = now
-	if s.limit != nil {
-		s.limit.take(now)
-	}
+	sched.take(now, s, decision.QueueTime)
 	decision.Server, decision.Speed, decision.Saturated = s.ID, s.effectiveSpeed(now), s.inFlightCount > s.Slots
 	return decision
 }
--- a/internal/entry/serverpools.go
+++ b/internal/entry/serverpools.go
@@ -11,6 +11,7 @@
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/registry"
+	"github.com/cassiasill/cassiasill/internal/routes"
 	"github.com/cassiasill/cassiasill/internal/shards"
 )
 
@@ -104,8 +105,7 @@
 		if server.Draining {
 			continue
 		}
-		byService[server.Service] = append(byService[server.Service], dispatch.Server{ID: server.ID, Zone: server.AvailabilityZone,
-			Slots: server.Slots, Speed: server.Speed, Warmup: server.Warmup})
+		byService[server.Service] = append(byService[server.Service], dispatchServer(server, snapshot.Config.Services[server.Service].Warmup))
 	}
 	hosts := snapshot.HostCount
 	if hosts < 1 {
@@ -122,6 +122,17 @@
 	}
 }
 
+// dispatchServer returns what a dispatcher is told of a server, given what the service's
+// servers bear while they are cold.
+func dispatchServer(server registry.Server, warmup routes.Warmup) dispatch.Server {
+	out := dispatch.Server{ID: server.ID, Zone: server.AvailabilityZone, Slots: server.Slots, Speed: server.Speed,
+		Incarnation: server.Incarnation, Warmup: server.Warmup, WarmupRate: warmup.Rate, WarmupMax: warmup.MaxPerSecond}
+	if warmup.Rate > 0 && warmup.Duration > 0 {
+		out.Warmup = min(out.Warmup, warmup.Duration)
+	}
+	return out
+}
+
 // updateOwners applies changed owners only, which in a large deployment change
 // far more often than the servers.
 func (s *ServerPools) updateOwners(previous, snapshot *control.Snapshot) {
--- a/internal/placing/client.go
+++ b/internal/placing/client.go
@@ -98,6 +98,9 @@
 	if frame.PacesRequests {
 		fc.pacesRequests.Store(true)
 	}
+	if frame.PacesWarmups {
+		fc.pacesWarmups.Store(true)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastReceived = time.Now()
--- a/internal/placing/frameconn.go
+++ b/internal/placing/frameconn.go
@@ -31,6 +31,8 @@
 	// pacesRequests is true if the dispatcher at the other end keeps the servers' rate
 	// limits.
 	pacesRequests atomic.Bool
+	// pacesWarmups is true if it keeps the pace of cold servers.
+	pacesWarmups atomic.Bool
 
 	mu           sync.Mutex
 	pending      *fleetpb.DispatchFrame
--- a/internal/placing/placer.go
+++ b/internal/placing/placer.go
@@ -95,25 +95,44 @@
 // Acquire waits for a server for the request. After a decision that names a
 // server, Release must be called with the AcquiredSlot.
 func (p *Placer) Acquire(ctx context.Context, request dispatch.Request) (dispatch.Decision, AcquiredSlot) {
+	var retryAfter time.Duration // when a server that was out of turn can be used
 	for {
 		decision, slot := p.acquire(ctx, request)
 		slot.server = decision.Server
-		if decision.Server == "" || slot.conn == nil || slot.conn.pacesRequests.Load() {
+		if retryAfter > 0 && decision.Reason == dispatch.ReasonNoServer {
+			decision.Reason, decision.RetryAfter = dispatch.ReasonRateLimited, retryAfter
+		}
+		if decision.Server == "" || slot.conn == nil || slot.conn.pacesRequests.Load() && slot.conn.pacesWarmups.Load() {
 			return decision, slot
 		}
-		// The dispatcher runs a build that does not know rate limits.
-		retryAfter, ok := p.local.TakeTurn(request.Service, decision.Server)
+		// The dispatcher runs a build that does not know rate limits, or does not know
+		// the pace of cold servers.
+		coldOnly := slot.conn.pacesRequests.Load()
+		wait, ok := p.local.TakeTurn(request.Service, decision.Server, coldOnly)
 		if ok {
 			return decision, slot
 		}
 		p.Release(slot, dispatch.Result{Outcome: dispatch.Abandoned})
 		if request.Position != dispatch.NoPosition {
-			return dispatch.Decision{Reason: dispatch.ReasonRateLimited, RetryAfter: retryAfter, QueueTime: decision.QueueTime}, AcquiredSlot{}
+			return dispatch.Decision{Reason: dispatch.ReasonRateLimited, RetryAfter: wait, QueueTime: decision.QueueTime}, AcquiredSlot{}
 		}
-		request.Exclude = append(slices.Clone(request.Exclude), decision.Server)
+		retryAfter = wait
+		// Many servers may be cold: to learn of them one by one would take a round trip
+		// each. The dispatcher counts what is excluded, so nothing may be named twice.
+		excluded := append(slices.Clone(request.Exclude), decision.Server)
+		excluded = append(excluded, p.local.OutOfTurn(request.Service, coldOnly)...)
+		slices.Sort(excluded)
+		request.Exclude = slices.Compact(excluded)
 	}
 }
 
+// Dispatches reports whether this host dispatches the requests of the service.
+func (p *Placer) Dispatches(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.selfAddress != "" && p.dispatcherAddresses[service] == p.selfAddress
+}
+
 // acquire is Acquire without regard to rate limits that the dispatcher does not know.
 func (p *Placer) acquire(ctx context.Context, request dispatch.Request) (dispatch.Decision, AcquiredSlot) {
 	p.mu.Lock()
--- a/internal/placing/ratelimit_test.go
+++ b/internal/placing/ratelimit_test.go
@@ -61,6 +61,12 @@
 // startOldServer serves a dispatcher as an older build does, which does not say that
 // it keeps rate limits.
 func startOldServer(t *testing.T, d *dispatch.Dispatcher) string {
+	t.Helper()
+	return startServerThatSays(t, d, &fleetpb.DispatchFrame{})
+}
+
+// startServerThatSays is startOldServer for a build that says something of itself.
+func startServerThatSays(t *testing.T, d *dispatch.Dispatcher, greeting *fleetpb.DispatchFrame) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -72,6 +78,9 @@
 				return
 			}
 			fc := newFrameConn(conn)
+			fc.enqueue(func(f *fleetpb.DispatchFrame) {
+				f.PacesRequests, f.PacesWarmups = greeting.PacesRequests, greeting.PacesWarmups
+			})
 			group.Go(fc.writeFrames)
 			group.Go(newHostSession(1, d, newTable(), fc).serve)
 		}
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -51,7 +51,7 @@
 			fc.close()
 			continue
 		}
-		fc.enqueue(func(f *fleetpb.DispatchFrame) { f.PacesRequests = true })
+		fc.enqueue(func(f *fleetpb.DispatchFrame) { f.PacesRequests, f.PacesWarmups = true, true })
 		s.group.Go(fc.writeFrames)
 		s.group.Go(func() {
 			defer s.removeConn(fc)
