List a second cold period, plan for cold servers and log their turns

A server that turned cold again while cold kept its first value in the list, so that hosts did not learn of it; the tracker now compares the remaining warmup with the one read last. Reads that may be from an older copy of the store end no cold period. The dispatcher of a service logs each turn to cold and to warm, with the rate and the requests sent meanwhile, and metrics count what was paced.

'go test ./internal/registry ./internal/entryhost' and 'go test -run Warm|MaxRate|RateLimit ./internal/control' pass.

--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -136,6 +136,7 @@
 	for _, limit := range m.leadership.node.RateLimits.Statuses() {
 		limits[limit.ID] = limit.Rate
 	}
+	warmup := m.warmup()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, id := range slices.Sorted(maps.Keys(servers)) {
@@ -153,7 +154,7 @@
 				speed *= warmupSpeedFactor
 			}
 		}
-		out = append(out, shards.Candidate{ID: id, Incarnation: s.Incarnation, Capacity: float64(s.Slots) * speed, MaxRate: limits[id]})
+		out = append(out, shards.Candidate{ID: id, Incarnation: s.Incarnation, Capacity: float64(s.Slots) * speed, MaxRate: maxRate(s, limits[id], warmup)})
 	}
 	return out
 }
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -95,6 +95,9 @@
 		return nil, err
 	}
 	dispatching := newDispatchService(options, limits)
+	if err := registerWarmupMetrics(options.Metrics.Meter("dispatch"), dispatching.local, dispatching.central); err != nil {
+		return nil, err
+	}
 	budget := entry.NewRetryBudget(options.RetryShare, options.RetryBurst, options.RetryWindow)
 	entries := &entryService{options: options, metrics: options.Metrics.entry, budget: budget, limits: limits}
 	admin := &adminService{options: options, metrics: options.Metrics.Metrics}
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -90,8 +90,10 @@
 
 func newDispatchService(options Options, limits *ratelimit.Table) *dispatchService {
 	local, central := dispatch.NewDispatcher(), dispatch.NewDispatcher()
-	return &dispatchService{options: options, local: local, central: central, limits: limits,
+	s := &dispatchService{options: options, local: local, central: central, limits: limits,
 		placer: placing.NewPlacer(options.DispatchAddress, options.Dial, local, central, limits)}
+	central.OnWarmup(s.logWarmup)
+	return s
 }
 
 func (s *dispatchService) Name() string       { return nameDispatch }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -38,7 +38,8 @@
 	// Incarnation is the Unix millisecond of the server's start. It distinguishes
 	// the runs of server processes with the same ID.
 	Incarnation int64
-	// Warmup is how long the server stays slow after its start.
+	// Warmup is how long the server stays cold, as first read since it turned cold; 0 if
+	// it is warm.
 	Warmup time.Duration
 	// Speed is the measured speed relative to the mean of the service; 0 if unknown.
 	Speed float64
@@ -123,11 +124,13 @@
 	// entries have not been written again.
 	restoreGraceEnd boottime.Instant
 	removed         map[string]int64 // incarnations of removed servers, by ID
+	// warmups holds the remaining warmups that were read last, by ID.
+	warmups map[string]time.Duration
 }
 
 // NewTracker returns a Tracker with an empty list.
 func NewTracker() *Tracker {
-	return &Tracker{servers: make(map[string]Server), removed: make(map[string]int64)}
+	return &Tracker{servers: make(map[string]Server), removed: make(map[string]int64), warmups: make(map[string]time.Duration)}
 }
 
 // Observe updates the list with a complete read that began at the given instant,
@@ -153,11 +156,7 @@
 			s.Draining = s.Draining || previous.Draining
 			s.Speed = previous.Speed
 		}
-		// The remaining warmup decreases with each heartbeat, which must not count as
-		// a change. Only its start and its end do.
-		if known && previous.Incarnation == s.Incarnation && s.Warmup > 0 && previous.Warmup > 0 {
-			s.Warmup = previous.Warmup
-		}
+		s.Warmup = t.listedWarmup(previous, s, restored)
 		if !known || previous != s {
 			t.servers[s.ID] = s
 			changed = true
@@ -167,6 +166,7 @@
 		if !seen[id] && !began.Before(t.graceEnd) && !restored {
 			t.removed[id] = t.servers[id].Incarnation
 			delete(t.servers, id)
+			delete(t.warmups, id)
 			changed = true
 		}
 	}
@@ -246,7 +246,7 @@
 			t.removed[id] = s.Incarnation
 		}
 	}
-	t.servers = maps.Clone(list.Servers)
+	t.servers, t.warmups = maps.Clone(list.Servers), make(map[string]time.Duration)
 	if t.servers == nil {
 		t.servers = make(map[string]Server)
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -158,3 +158,27 @@
 	tracker.Observe([]Server{stays}, at(16.8))
 	assert.Equal(t, serverCount(tracker.List()), 1)
 }
+
+// Guards against a second cold period that hosts don't learn of, and against one that is
+// taken from an older copy of the store.
+func TestServerThatTurnsColdAgain(t *testing.T) {
+	tracker := NewTracker()
+	observe := func(seconds, at float64) bool {
+		return tracker.Observe([]Server{{ID: "a", Warmup: time.Duration(seconds * float64(time.Second))}}, boottime.Instant(at*float64(time.Second)))
+	}
+	assert.Assert(t, observe(3, 1))
+	for i := 1; i <= 3; i++ {
+		assert.Assert(t, !observe(3-0.5*float64(i), 1+0.5*float64(i)))
+	}
+	assert.Assert(t, observe(3, 3), "cold again for the same time")
+	assert.Assert(t, !observe(2.5, 3.5))
+	tracker.RecordRestore(boottime.Instant(4 * time.Second))
+	assert.Assert(t, !observe(0, 5), "warm in an older copy of the store")
+	assert.Assert(t, !observe(8, 5.5), "colder in an older copy of the store")
+	assert.Assert(t, observe(0, 7))
+	assert.Equal(t, tracker.List().Servers["a"].Warmup, time.Duration(0))
+	assert.Assert(t, observe(2, 8))
+	tracker.Seed(tracker.List(), boottime.Instant(9*time.Second), Gap{})
+	assert.Assert(t, !observe(1, 9))
+	assert.Assert(t, tracker.Observe([]Server{{ID: "a", Incarnation: 1, Warmup: time.Second}}, boottime.Instant(10*time.Second)), "restarted while cold")
+}
