--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -84,11 +84,18 @@
 	Slots int
 	// Speed is the known speed relative to the service's mean; 0 if unknown.
 	Speed float64
-	// Warmup is how long the server stays slow from now on; it counts only when the
-	// Scheduler first sees the server.
+	// Incarnation distinguishes the processes of the server.
+	Incarnation int64
+	// Warmup is how long the server stays slow from now on, 0 if it is warm. While it
+	// is not 0 and WarmupRate is set, the server counts as cold. Without WarmupRate it
+	// matters only when the Scheduler first sees the server.
 	Warmup time.Duration
 	// KeysOnly is true if the server gets no requests but those for its keys.
 	KeysOnly bool
+	// WarmupRate is how many requests per second of all hosts the server bears while
+	// it is cold; 0 if there is no limit. WarmupMax is how many it bears in any one
+	// second.
+	WarmupRate, WarmupMax float64
 }
 
 // Outcome is how a request ended at a server.
@@ -190,15 +197,7 @@
 	offeredLoad         loadMeter // of requests for the server's keys
 	connections         idleConnections
 	limit               *rateLimit // nil if the server has none
-}
-
-// effectiveSpeed returns the estimated speed, reduced during the warmup.
-func (s *serverState) effectiveSpeed(now Instant) float64 {
-	speed := s.estimatedSpeed
-	if now < s.warmupEnd {
-		speed *= warmupSpeedFactor
-	}
-	return max(speed, minSpeed)
+	sentCold            int64      // requests since the server turned cold
 }
 
 // queuedRequest is a request in a queue.
@@ -227,6 +226,12 @@
 	// that are not listed yet. Seed spreads the turns of hosts.
 	rateLimits map[string]float64
 	seed       uint64
+	// warmups counts requests that concern cold servers; transitions holds the turns of
+	// servers to cold and to warm that have not been taken. lastSubmitAt is when the
+	// latest request came.
+	warmups      WarmupCounts
+	transitions  []WarmupTransition
+	lastSubmitAt Instant
 }
 
 // inFlightRequest is a request that has been assigned to a server.
@@ -264,7 +269,7 @@
 	for _, listed := range list {
 		s := sched.servers[listed.ID]
 		if s == nil {
-			s = &serverState{Server: Server{ID: listed.ID}, warmupEnd: now.Add(listed.Warmup)}
+			s = &serverState{Server: Server{ID: listed.ID, Incarnation: listed.Incarnation}, warmupEnd: now.Add(listed.Warmup)}
 			s.assumeSpeed(1, assumedWork)
 			sched.updatePace(now, s)
 		}
@@ -272,7 +277,9 @@
 		if listed.Speed > 0 && listed.Speed != s.Speed && (sched.slotShare < 1 || s.sampleCount < minOwnSamples) {
 			s.assumeSpeed(listed.Speed, assumedWork)
 		}
+		previous := s.Server
 		s.Server = listed
+		sched.updateWarmup(now, s, previous)
 		next[listed.ID] = s
 	}
 	sched.servers = next
@@ -287,6 +294,7 @@
 // Submit queues the request and returns the resulting decisions, the one about the
 // request itself among them if it need not wait.
 func (sched *Scheduler) Submit(now Instant, request Request) []Decision {
+	sched.noteSubmit(now)
 	sched.offeredLoad.add(now, request.Work)
 	if s := sched.owningServer(request); s != nil {
 		s.offeredLoad.add(now, request.Work)
@@ -340,57 +348,6 @@
 	return append(sched.decideQueue(now, request.server), sched.decideQueue(now, unkeyedQueue)...)
 }
 
-// recordResult updates the server's failure rate, pause and speed.
-func (s *serverState) recordResult(now Instant, request inFlightRequest, result Result) {
-	switch result.Outcome {
-	case Abandoned:
-		// A request canceled after a long time still shows that the server is slow.
-		if elapsed := now.Sub(request.assignedAt); request.work > 0 && elapsed > 3*request.work {
-			s.recordSample(request.work, elapsed)
-		}
-		return
-	case Inconclusive:
-		return
-	case Succeeded:
-		s.failureRate *= 1 - failureWeight
-		s.backoff = 0
-		s.pausedUntil = min(s.pausedUntil, now)
-		s.connections.markIdle(now, request.hostID)
-		if !request.saturated && (!result.HasLoad || result.Waiting == 0) && request.work > 0 {
-			s.recordSample(request.work, now.Sub(request.assignedAt))
-		}
-		return
-	case Shed:
-		s.pausedUntil = now.Add(shedPause)
-		s.failureRate += (1 - s.failureRate) * failureWeight / 2
-		return
-	case Unreachable:
-		s.backoff = min(max(s.backoff*2, minUnreachablePause), maxUnreachablePause)
-		s.pausedUntil = now.Add(s.backoff)
-	}
-	s.failureRate += (1 - s.failureRate) * failureWeight
-}
-
-// recordSample updates the estimated speed with one request that took elapsed for
-// the given expected work.
-func (s *serverState) recordSample(work, elapsed time.Duration) {
-	// One very long request must not undo many normal ones.
-	observed := min(elapsed.Seconds(), maxSampleRatio*work.Seconds())
-	s.sampleCount++
-	weight := max(speedWeight, 1/(s.sampleCount+priorSamples))
-	// The speed is a ratio of means. A mean of ratios would overestimate it under
-	// a skewed distribution with many short requests.
-	s.meanExpectedSeconds += weight * (work.Seconds() - s.meanExpectedSeconds)
-	s.meanObservedSeconds += weight * (observed - s.meanObservedSeconds)
-	s.estimatedSpeed = min(max(s.meanExpectedSeconds/max(s.meanObservedSeconds, 1e-6), minSpeed), maxSpeed)
-}
-
-// assumeSpeed sets the estimated speed to one that is known from elsewhere.
-func (s *serverState) assumeSpeed(speed float64, work time.Duration) {
-	s.estimatedSpeed = speed
-	s.meanExpectedSeconds, s.meanObservedSeconds = work.Seconds(), work.Seconds()/speed
-}
-
 // owningServer returns the server that owns the request's key, nil if the request
 // has no key or the key has no usable owner.
 func (sched *Scheduler) owningServer(request Request) *serverState {
