Start pipelined requests before their turn

Cause: each pipelined request waits for the sum of the times of those ahead of it, and callers give up on requests that are not read within a second.

Change: callers' connections are read ahead (package pipeline). Requests without a body on routes whose requests may be repeated are started as soon as they have been read, up to callers.pipelineDepth (16) of one connection, and the handler writes their responses in their turn. ServeHTTP is split into matching, forwarding and responding, which both paths use. Each started request has its own caller and deadline from its reading and ends once. A stopping host starts no more, and closes each connection with the last response to what it has started.

--- a/internal/entry/departure.go
+++ b/internal/entry/departure.go
@@ -20,6 +20,7 @@
 	stageConnecting    stage = "connecting"     // a server is chosen, and nothing is sent to it yet
 	stageSent          stage = "sent"           // the server has the request and has not responded
 	stageRetrying      stage = "retrying"       // between two attempts
+	stageReady         stage = "ready"          // the response waits for those to the requests before it
 	stageResponding    stage = "responding"     // the response is being written
 )
 
@@ -29,6 +30,12 @@
 // endDeparted ends a request whose caller has left: it logs and counts where the
 // request was, and closes the caller's connection.
 func (h *Handler) endDeparted(q *request) {
+	h.recordDeparted(q)
+	panic(http.ErrAbortHandler)
+}
+
+// recordDeparted logs and counts where a request was when its caller left.
+func (h *Handler) recordDeparted(q *request) {
 	now := time.Now()
 	unseen := max(now.Sub(q.caller.lastSeen()), 0)
 	h.Metrics.recordResult(q.route, "canceled", now.Sub(q.started))
@@ -39,5 +46,4 @@
 	}
 	h.Log.Info("entry: caller left", zap.String("request", q.id), zap.String("stage", string(q.stage)), zap.String("service", q.service),
 		zap.Duration("after", now.Sub(q.started)), zap.Duration("last_seen", unseen), zap.String("server", server), zap.Int("attempts", len(q.attemptedServers)))
-	panic(http.ErrAbortHandler)
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -15,6 +15,7 @@
 	"github.com/cassiasill/cassiasill/internal/detour"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/pipeline"
 	"github.com/cassiasill/cassiasill/internal/placing"
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/routes"
@@ -58,6 +59,12 @@
 	Reach   *detour.Tracker
 	Metrics *Metrics
 	Log     *zap.Logger
+	// PipelineDepth bounds the requests of one connection that are in progress at a time.
+	// Below 2, requests are served one after another.
+	PipelineDepth int
+	// Budget bounds the bytes that are read ahead and the responses that wait for their
+	// turn. Nil stands for no limit.
+	Budget pipeline.Budget
 }
 
 // Handler forwards callers' requests to servers.
@@ -68,6 +75,7 @@
 	costs       *costEstimator
 	holdOffs    *holdOffs
 	drain       atomic.Pointer[drainPeriod]
+	readAhead   readAhead
 }
 
 // NewHandler returns a Handler.
@@ -82,9 +90,13 @@
 // drainPeriod is the time from the begin of a planned stop to the end of the process.
 type drainPeriod struct{ since, end time.Time }
 
-// Drain makes each response close its connection. Late in the period, requests that
+// Drain makes the last response on each connection to a request that has been started
+// close it, and starts no requests before their turn. Late in the period, requests that
 // may not finish before its end are rejected.
-func (h *Handler) Drain(since, end time.Time) { h.drain.Store(&drainPeriod{since, end}) }
+func (h *Handler) Drain(since, end time.Time) {
+	h.drain.Store(&drainPeriod{since, end})
+	h.readAhead.stop()
+}
 
 // mayOutlastDrain reports whether the request came late during a planned stop and
 // may take longer than the process lives.
@@ -93,42 +105,6 @@
 	return drain != nil && q.started.Sub(drain.since) >= lateDrainPeriod && q.deadline.After(drain.end)
 }
 
-// ServeHTTP forwards one request and writes the response.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	started := time.Now()
-	if h.drain.Load() != nil {
-		w.Header().Set("Connection", "close")
-	}
-	snapshot := h.View.Load()
-	if snapshot.Config == nil || snapshot.Servers == nil {
-		h.writeError(w, nil, r, &apierror.Error{Kind: apierror.KindStaleHost, Detail: "no configuration yet", RetryAfter: noConfigRetryAfter})
-		return
-	}
-	route := snapshot.Config.Match(r.Host, rawPath(r))
-	if route == nil {
-		h.writeError(w, nil, r, apierror.New(apierror.KindNotFound, "no route for host %s", r.Host))
-		return
-	}
-	c := newCaller(r.Context(), started)
-	defer c.cancel()
-	q, failure := h.newRequest(r, snapshot, route, c)
-	if failure != nil {
-		h.writeError(w, q, r, failure)
-		return
-	}
-	h.Metrics.countRequest(route)
-	defer c.startChecks()()
-	result, failure := h.forward(c.ctx, snapshot, q)
-	switch {
-	case failure != nil && failure.Kind == apierror.KindCanceled:
-		h.endDeparted(q)
-	case failure != nil:
-		h.writeError(w, q, r, failure)
-	default:
-		h.writeResponse(w, q, result)
-	}
-}
-
 // forward sends the request to servers until one responds or no retry is allowed.
 func (h *Handler) forward(ctx context.Context, snapshot *control.Snapshot, q *request) (exchange.Result, *apierror.Error) {
 	for {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -26,6 +27,10 @@
 	departures        metric.Int64Counter
 	lateSends         metric.Int64Counter
 	departureLag      metric.Float64Histogram
+	readAhead         metric.Int64Counter
+	startedAhead      metric.Int64Counter
+	canceledAhead     metric.Int64Counter
+	pipelineDepth     metric.Int64Histogram
 }
 
 // NewMetrics creates the instruments.
@@ -56,9 +61,26 @@
 	m.departures = counter("entry.departures", "Requests whose callers left, by the stage in which they were.")
 	m.lateSends = counter("entry.late_sends", "Requests sent to a server although their callers had left.")
 	m.departureLag = histogram("entry.departure_lag", "Longest possible time from the end of a caller's connection to that of its request at the server.")
-	return m, err
+	m.readAhead = counter("entry.read_ahead", "Complete requests without a body that were read while another was served.")
+	m.startedAhead = counter("entry.started_ahead", "Requests that were started before their turn.")
+	m.canceledAhead = counter("entry.canceled_ahead", "Requests started before their turn whose turn never came.")
+	var derr error
+	m.pipelineDepth, derr = meter.Int64Histogram("entry.pipeline_depth", metric.WithDescription("Requests of a connection in progress when one is started before its turn."),
+		metric.WithExplicitBucketBoundaries(2, 4, 8, 12, 16, 32, 64))
+	return m, errors.Join(err, derr)
 }
 
+func (m *Metrics) countReadAhead() { m.readAhead.Add(context.Background(), 1) }
+
+// recordStart counts a request that is started before its turn, with the number of its
+// connection's requests in progress.
+func (m *Metrics) recordStart(depth int) {
+	m.startedAhead.Add(context.Background(), 1)
+	m.pipelineDepth.Record(context.Background(), int64(depth))
+}
+
+func (m *Metrics) countCanceledAhead() { m.canceledAhead.Add(context.Background(), 1) }
+
 // recordDeparture counts a caller that left. Unseen is the time since it was last
 // known to be there, which bounds how long a server has worked on.
 func (m *Metrics) recordDeparture(s stage, unseen time.Duration) {
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -60,8 +59,8 @@
 		h.Log.Debug("entry: connection not reset", zap.Error(err))
 		return
 	}
-	if tcp, ok := c.(*net.TCPConn); ok {
-		err = tcp.SetLinger(0)
+	if l, ok := c.(interface{ SetLinger(int) error }); ok {
+		err = l.SetLinger(0)
 	}
 	if err = errors.Join(err, c.Close()); err != nil {
 		h.Log.Debug("entry: connection not reset", zap.Error(err))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -62,7 +62,7 @@
 
 // Serve accepts connections until Shutdown is called.
 func (s *Server) Serve(listener net.Listener) error {
-	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.handler.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -107,9 +107,13 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if err := s.http.Shutdown(ctx); err != nil {
+	// The HTTP server closes connections after the response in progress once it shuts down.
+	s.handler.awaitTurns(ctx)
+	err := s.http.Shutdown(ctx)
+	if err != nil {
 		s.log.Warn("entry: requests in flight aborted at the end of the shutdown", zap.Error(err))
-		return s.http.Close()
+		err = s.http.Close()
 	}
-	return nil
+	s.handler.readAhead.group.Wait()
+	return err
 }
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -56,6 +56,9 @@
 	RetryShare  float64
 	RetryBurst  float64
 	RetryWindow time.Duration
+	// PipelineDepth bounds the pipelined requests of one connection that are in progress at
+	// a time. Below 2, requests are served one after another.
+	PipelineDepth int
 	// GracePeriod is the time within which the process must stop.
 	GracePeriod time.Duration
 	// Listen and Dial are the host's network; the zero Listen is that of the operating
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -173,7 +173,7 @@
 	})
 	handler := entry.NewHandler(entry.Options{AvailabilityZone: s.options.AvailabilityZone, HeaderNames: s.options.HeaderNames,
 		View: s.node.View(), Reports: s.node.Reports, Placer: placer, ServerPools: pools,
-		RetryBudget: s.budget, RateLimits: s.limits, Reach: s.options.Reach, Metrics: s.metrics, Log: s.options.Log})
+		RetryBudget: s.budget, RateLimits: s.limits, Reach: s.options.Reach, Metrics: s.metrics, Log: s.options.Log, PipelineDepth: s.options.PipelineDepth})
 	s.server = entry.NewServer(handler)
 	listener, err := s.options.Listen(ctx, s.options.CallersAddress)
 	if err != nil {
--- a/internal/network/callerconn.go
+++ b/internal/network/callerconn.go
@@ -17,6 +17,12 @@
 	return context.WithValue(ctx, connContextKey{}, c)
 }
 
+// ContextConn returns the connection that ContextWithConn has added to the context, or nil.
+func ContextConn(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connContextKey{}).(net.Conn)
+	return c
+}
+
 // CallerConn returns the connection of the caller whose request has the context, or nil
 // if it is none of the operating system's.
 func CallerConn(ctx context.Context) syscall.RawConn {
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -19,6 +19,8 @@
 	Seeds []string `yaml:"seeds"`
 	// Store is the address of the platform's key-value store. Required.
 	Store PlatformStore `yaml:"store"`
+	// Callers sets how callers are served.
+	Callers PlatformCallers `yaml:"callers"`
 	// Limits bound the process.
 	Limits PlatformLimits `yaml:"limits"`
 	// Bounds are the figures agreed with the platform, as it writes them.
@@ -60,6 +62,13 @@
 	Timeout Duration `yaml:"timeout"`
 }
 
+// PlatformCallers sets how callers are served.
+type PlatformCallers struct {
+	// PipelineDepth bounds the pipelined requests of one connection that are in progress
+	// at a time. With 0 or 1, requests are served one after another. Default: 16.
+	PipelineDepth int `yaml:"pipelineDepth"`
+}
+
 // PlatformLimits bound the process.
 type PlatformLimits struct {
 	// MemoryMB is what the process may use, in MB. Default: 256.
@@ -86,9 +95,10 @@
 // ParsePlatform is LoadPlatform for data; file is its name in errors.
 func ParsePlatform(file string, data []byte) (*Platform, error) {
 	p := &Platform{
-		Store:  PlatformStore{Timeout: Duration(time.Second)},
-		Limits: PlatformLimits{MemoryMB: 256, CPUQuota: 1, CoreSpeed: 1},
-		Log:    Log{Level: "info", Format: "json"},
+		Store:   PlatformStore{Timeout: Duration(time.Second)},
+		Callers: PlatformCallers{PipelineDepth: 16},
+		Limits:  PlatformLimits{MemoryMB: 256, CPUQuota: 1, CoreSpeed: 1},
+		Log:     Log{Level: "info", Format: "json"},
 	}
 	if err := parse(file, data, p, p.validate); err != nil {
 		return nil, err
@@ -110,6 +120,7 @@
 	between(d, "listen.firstPeerPort", p.Listen.FirstPeerPort, 1, 65534)
 	between(d, "listen.metricsPort", p.Listen.MetricsPort, 0, 65535)
 	between(d, "store.timeout", p.Store.Timeout, Duration(time.Millisecond), Duration(time.Minute))
+	between(d, "callers.pipelineDepth", p.Callers.PipelineDepth, 0, 256)
 	between(d, "limits.memoryMB", p.Limits.MemoryMB, 16, 1<<20)
 	between(d, "limits.cpuQuota", p.Limits.CPUQuota, 0.001, 1024)
 	between(d, "limits.coreSpeed", p.Limits.CoreSpeed, 0.001, 1024)
--- a/internal/settings/platform_test.go
+++ b/internal/settings/platform_test.go
@@ -29,6 +29,10 @@
 	assert.NilError(t, err)
 	assert.Equal(t, p.Listen.Peers, "10.1.0.18:8382")
 	assert.Equal(t, string(p.Log.Level), "info")
+	assert.Equal(t, p.Callers.PipelineDepth, 16)
+	p, err = ParsePlatform("node.yaml", []byte(platformFile+"callers:\n  pipelineDepth: 0\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, p.Callers.PipelineDepth, 0)
 	assert.DeepEqual(t, p.Seeds, []string{"10.1.0.18:8382"})
 }
 
@@ -45,6 +49,8 @@
 		{`memoryMB: 284`, `memoryMb: 284`, "limits.memoryMb: unknown field, did you mean \"memoryMB\"?"},
 		{`memoryMB: 284`, `memoryMB: 2`, "limits.memoryMB"},
 		{"store:\n  address: \"10.200.1.7:8384\"\n", "", "store.address"},
+		{`limits:`, "callers:\n  pipelineDepth: -1\nlimits:", "callers.pipelineDepth"},
+		{`limits:`, "callers:\n  pipelineDepth: 257\nlimits:", "callers.pipelineDepth"},
 		{`seeds: [`, `seeds: [[`, "node.yaml:"},
 	} {
 		broken := strings.Replace(platformFile, c.old, c.new, 1)
