Read ahead without allocations for callers that don't pipeline

Cause: many callers send the next request before net/http has ended the background read of the last one. The byte that this read returned was taken for pipelining, which cost a buffer and a started request.

Change: a byte that arrives after the handler has returned goes to net/http at once, and the finder keeps the beginning of a line in memory of the connection.

--- a/internal/entry/readahead.go
+++ b/internal/entry/readahead.go
@@ -63,14 +63,14 @@
 	a.waiting--
 }
 
-// hasRoom reports whether requests may be started, and anyWaiting whether started ones
-// wait for their turn.
-func (a *readAhead) hasRoom() bool {
+// isOpen reports whether requests may be started.
+func (a *readAhead) isOpen() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return !a.stopped
 }
 
+// anyWaiting reports whether started requests wait for their turn.
 func (a *readAhead) anyWaiting() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -127,6 +127,10 @@
 	started []*startedRequest // whose turn has not come, in their order
 	stopped bool              // no more may be started
 	left    bool              // the caller has ended the connection
+	// finished is the number of the last request whose handler has returned. A byte that
+	// arrives between that and the next request is no pipelining: many callers send the
+	// next request before net/http has ended its background read.
+	finished uint64
 }
 
 // sessionOf returns the session of a request's connection, or nil.
@@ -141,7 +145,17 @@
 func (s *session) HasRoom() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.stopped && len(s.started)+1 < s.h.PipelineDepth && s.h.readAhead.hasRoom()
+	return !s.stopped && s.finished < s.conn.Current() && len(s.started)+1 < s.h.PipelineDepth && s.h.readAhead.isOpen()
+}
+
+// finish records that the handler of the current request has returned.
+func (s *session) finish() {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.finished = s.conn.Current()
 }
 
 // Start starts a request if it may be repeated and its response is likely small.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -24,6 +24,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	s := sessionOf(r.Context())
+	defer s.finish()
 	p := s.take(r)
 	if h.drain.Load() != nil && s.stop() == 0 {
 		w.Header().Set("Connection", "close")
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -34,7 +34,7 @@
 // Starter starts requests that a connection has read ahead. Its methods don't block.
 type Starter interface {
 	// HasRoom reports whether another request may be started now. If not, the connection is
-	// not read further.
+	// not read further before net/http takes up the next request.
 	HasRoom() bool
 	// Start is called with each complete request without a body that is read ahead, in
 	// their order, and with the request's number on the connection. raw is valid during
@@ -225,7 +225,7 @@
 		}
 		if c.buffer.isEmpty() { // the usual case, for which no buffer is held
 			n, err := c.readConn(p)
-			if n == 0 || c.stopped || !c.buffer.add(p[:n]) {
+			if n == 0 || c.stopped || !c.starter.HasRoom() || !c.buffer.add(p[:n]) {
 				return c.deliver(p[:n]), err
 			}
 			continue
--- a/internal/pipeline/finder.go
+++ b/internal/pipeline/finder.go
@@ -30,9 +30,12 @@
 // head that it accepts has the same end and the same body length there.
 type finder struct {
 	partial []byte // the beginning of a line whose end has not been read
-	size    int    // bytes of the head so far
-	lines   int
-	head    head
+	// short is the memory of partial for usual lines: net/http often reads the first byte
+	// of a head by itself.
+	short [128]byte
+	size  int // bytes of the head so far
+	lines int
+	head  head
 }
 
 // head is what decides about a request's end and about whether it may be started.
@@ -63,6 +66,9 @@
 			return len(p), statusUnclear
 		}
 		if part[len(part)-1] != '\n' {
+			if f.partial == nil {
+				f.partial = f.short[:0]
+			}
 			f.partial = append(f.partial, part...)
 			return consumed, statusMore
 		}
