--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -38,6 +38,7 @@
 	logs       *observer.ObservedLogs
 	handler    *Handler
 	executions atomic.Int64
+	metrics    http.Handler
 }
 
 // newTestHost returns a host that forwards two routes, /safe/ and /unsafe/, to
@@ -93,6 +94,7 @@
 	pools.Update(&snapshot)
 	metrics, err := telemetry.NewMetrics()
 	assert.NilError(t, err)
+	p.metrics = metrics.Handler()
 	instruments, err := NewMetrics(metrics.Meter("test"))
 	assert.NilError(t, err)
 	core, logs := observer.New(zap.InfoLevel)
--- a/internal/entry/readahead_test.go
+++ b/internal/entry/readahead_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -283,6 +285,47 @@
 	assert.Equal(t, p.executions.Load(), int64(4))
 }
 
+// Guards against a shutdown that closes connections on which responses to started
+// requests are missing.
+func TestShutdownAwaitsTheTurnsOfStartedRequests(t *testing.T) {
+	t.Parallel()
+	server := newGatedServer()
+	p := newTestHostWith(t, testHostOptions{timeout: departureTimeout}, same(server.serve, 4)...)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p.url = listener.Addr().String()
+	s := NewServer(p.handler)
+	var group sync.WaitGroup
+	group.Go(func() { assert.Check(t, s.Serve(listener)) })
+	_, reader := sendPipelined(t, p, targets(4)...)
+	receiveAll(server.began, 4)
+	group.Go(func() { assert.Check(t, s.Shutdown(t.Context())) })
+	time.Sleep(drainAcceptPeriod + 200*time.Millisecond)
+	close(server.gate)
+	for i, r := range targets(4) {
+		assert.Equal(t, checkOwnResponse(t, reader, r[4:]), i == 3)
+	}
+	group.Wait()
+}
+
+// Guards against requests that are counted twice, by the start and by the turn.
+func TestPipelinedRequestsAreCountedOnce(t *testing.T) {
+	p := newTestHostWith(t, testHostOptions{timeout: departureTimeout}, same(respondTarget, 4)...)
+	requests := targets(8)
+	requests[0] = "GET /safe/slow"
+	_, reader := sendPipelined(t, p, requests...)
+	for _, r := range requests {
+		checkOwnResponse(t, reader, r[4:])
+	}
+	recorder := httptest.NewRecorder()
+	waitFor(t, func() bool { return !p.handler.readAhead.anyWaiting() })
+	p.metrics.ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	for name, n := range map[string]int{"entry_requests_total": 8, "entry_results_total": 8, "entry_read_ahead_total": 7, "entry_started_ahead_total": 7, "entry_pipeline_depth_count": 7} {
+		found := regexp.MustCompile("(?m)^" + name + `(?:\{.*\})? (\d+)$`).FindStringSubmatch(recorder.Body.String())
+		assert.Assert(t, len(found) == 2 && found[1] == fmt.Sprint(n), "%s: %v", name, found)
+	}
+}
+
 // limitedBudget has a limited number of bytes.
 type limitedBudget struct{ left atomic.Int64 }
 
