Recover from panics while a pipelined request is started

Cause: requests are started in the background read of net/http, whose goroutine doesn't recover from panics, so a fault on that path would end the process.

Change: such a panic is logged and ends reading ahead on the connection.

--- a/internal/entry/readahead.go
+++ b/internal/entry/readahead.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/network"
@@ -158,8 +160,18 @@
 	s.finished = s.conn.Current()
 }
 
-// Start starts a request if it may be repeated and its response is likely small.
+// Start starts a request if it may be repeated and its response is likely small. It runs
+// in a goroutine of net/http that doesn't recover from panics.
 func (s *session) Start(number uint64, raw []byte) pipeline.Decision {
+	decision := pipeline.Stop
+	if recovered := panics.Try(func() { decision = s.start(number, raw) }); recovered != nil {
+		s.h.Log.Error("entry: panic while a request was started", zap.Error(recovered.AsError()))
+	}
+	return decision
+}
+
+// start is Start without a recovery.
+func (s *session) start(number uint64, raw []byte) pipeline.Decision {
 	s.h.Metrics.countReadAhead()
 	now := time.Now()
 	r, err := http.ReadRequest(bufio.NewReaderSize(bytes.NewReader(raw), len(raw)))
