Test a HEAD request within a pipeline

Cause: a body behind the response to a HEAD request would be taken for the next response.

Change: the test of the order of pipelined responses has one.

go test -race -run InOrder -count 3 ./internal/entry passes.

--- a/internal/entry/readahead_test.go
+++ b/internal/entry/readahead_test.go
@@ -125,6 +125,12 @@
 			checkOwnResponse(t, reader, r[4:])
 		}
 	}
+	_, reader := sendPipelined(t, p, "GET /safe/slow", "HEAD /safe/head", "GET /safe/1")
+	checkOwnResponse(t, reader, "/safe/slow")
+	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodHead})
+	assert.NilError(t, err)
+	assert.Equal(t, response.Header.Get("X-Id"), "/safe/head")
+	checkOwnResponse(t, reader, "/safe/1")
 	c, reader := sendPipelined(t, p, "GET /safe/slow")
 	for _, b := range []byte(nextRequest + nextRequest) {
 		_, err := c.Write([]byte{b})
