Count requests in the replay by the assignment that hosts know

Cause: hosts keep requests for a position from the publication of its release to that of its new owner, and the manager publishes an assignment only once its new owners have acknowledged their grants. The replay counted requests by the committed assignment and did not see this wait.

Change: the replay publishes as the manager does and counts by what is published.

--- a/internal/control/hotkeys_test.go
+++ b/internal/control/hotkeys_test.go
@@ -71,12 +71,12 @@
 
 // hotResult is what the replay counts during one hot set.
 type hotResult struct {
-	seconds             float64 // until no server is above its capacity
-	above, unowned      float64 // requests
-	positions           int
-	ranges, commits     int // ranges moved and commits
-	largestRangesInUse  int
-	secondsPastHotStart float64
+	seconds            float64 // until no server is above its capacity
+	above, unowned     float64 // requests
+	positions          int
+	ranges, commits    int // ranges moved and commits
+	largestRangesInUse int
+	sinceStart         float64
 }
 
 func newReplay(speeds []float64, servers, hosts int, total float64) *replay {
@@ -91,12 +91,9 @@
 		r.servers[s.ID], r.capacities[s.ID] = s, replaySlots*s.Speed/replayWork
 		r.manager.holders[s.ID] = &holder{incarnation: 1, ackedAt: make(map[grantID]boottime.Instant)}
 	}
-	for i := range r.hosts {
-		r.hosts[i] = make(map[uint32]uint32)
-	}
 	r.manager.assignment = shards.InitialAssignment(r.manager.candidates(r.servers))
 	for _, a := range r.manager.assignment.Ranges {
-		r.owners[a.From] = true
+		r.owners[a.From], r.manager.holders[a.Owner].ackedAt[grantIDOf(a)] = true, r.now
 	}
 	r.base = make([]float64, shards.PositionCount)
 	sum := 0.0
@@ -129,14 +126,9 @@
 	return sums
 }
 
-// step plays replayStep: requests, reports, responses and the manager's decision.
+// step plays replayStep: reports, requests, responses and the manager's decision.
 func (r *replay) step(sums []float64, out *hotResult) {
 	r.now = r.now.Add(replayStep)
-	last := sums[len(sums)-1]
-	for at := r.random.ExpFloat64() / last; at < replayStep.Seconds(); at += r.random.ExpFloat64() / last {
-		position, _ := slices.BinarySearch(sums, r.random.Float64()*last)
-		r.hosts[r.random.IntN(len(r.hosts))][uint32(max(position-1, 0))]++
-	}
 	for i, counts := range r.hosts {
 		if r.now < r.reportAt[i] {
 			continue
@@ -146,15 +138,21 @@
 			load.Positions, load.Counts = append(load.Positions, position), append(load.Counts, count)
 		}
 		r.meter.add(load)
-		clear(counts)
+		r.hosts[i] = make(map[uint32]uint32)
 		r.reportAt[i] = r.now.Add(time.Duration(100+r.random.IntN(150)) * time.Millisecond)
 	}
+	last := sums[len(sums)-1]
+	for at := r.random.ExpFloat64() / last; at < replayStep.Seconds(); at += r.random.ExpFloat64() / last {
+		position, _ := slices.BinarySearch(sums, r.random.Float64()*last)
+		r.hosts[r.random.IntN(len(r.hosts))][uint32(max(position-1, 0))]++
+	}
 	r.due = slices.DeleteFunc(r.due, func(d dueResponse) bool {
 		if d.at <= r.now {
 			d.apply()
 		}
 		return d.at <= r.now
 	})
+	r.manager.publish()
 	if next := r.manager.nextAssignment(r.servers, r.now); next != nil {
 		out.commits++
 		r.commit(next, out)
@@ -171,7 +169,7 @@
 	for _, a := range next.Ranges {
 		switch old := previous.FindRange(a.From); {
 		case a.ReleaseToken == next.Version:
-			release := &pendingRelease{token: a.ReleaseToken, lastSent: r.now}
+			release := &pendingRelease{token: a.ReleaseToken, lastSent: r.now, handover: "h"}
 			r.manager.releases[a.From] = release
 			out.ranges++
 			out.positions += a.Width()
@@ -183,8 +181,9 @@
 				r.manager.holders[a.Owner].ackedAt[grantIDOf(a)] = r.now
 			})
 		default:
-			granted[a.From] = r.owners[old.From]
-			r.manager.holders[a.Owner].ackedAt[grantIDOf(a)] = r.now
+			if granted[a.From] = r.owners[old.From]; granted[a.From] {
+				r.manager.holders[a.Owner].ackedAt[grantIDOf(a)] = r.now
+			}
 		}
 	}
 	r.owners = granted
@@ -195,13 +194,15 @@
 	r.due = append(r.due, dueResponse{r.now.Add(time.Duration(minMillis+r.random.IntN(maxMillis-minMillis)) * time.Millisecond), apply})
 }
 
-// count adds the requests above the capacity of their owners. What single positions
-// have above the capacity of the fastest server is not counted: no move can help it.
+// count adds the requests above the capacity of their owners, as hosts see them, and
+// those that wait for a move. What single positions have above the capacity of the
+// fastest server is not counted: no move can help it.
 func (r *replay) count(sums []float64, out *hotResult) {
 	offered, fastest := make(map[string]float64), 0.0
-	for _, a := range r.manager.assignment.Ranges {
+	for _, a := range r.manager.leadership.node.view.Load().Assignments["s"].Ranges {
 		load := sums[int(a.To)+1] - sums[a.From]
-		if !r.owners[a.From] {
+		actual := r.manager.assignment.FindRange(a.From)
+		if !a.Held() || actual.Owner != a.Owner || !r.owners[actual.From] {
 			out.unowned += load * replayStep.Seconds()
 			continue
 		}
@@ -215,10 +216,10 @@
 	for i := 1; i < len(sums); i++ {
 		above -= max(sums[i]-sums[i-1]-fastest, 0)
 	}
-	out.secondsPastHotStart += replayStep.Seconds()
+	out.sinceStart += replayStep.Seconds()
 	if above > 0.5 {
 		out.above += above * replayStep.Seconds()
-		out.seconds = out.secondsPastHotStart
+		out.seconds = out.sinceStart
 	}
 }
 
