Spread hot keys over many servers in one round

Cause: a round has at most eight moves, each to the one idlest server, so a run of hot positions that needs 30 servers takes four rounds and more.

Ranges on their way to a server count toward its bound.

--- a/internal/shards/planner.go
+++ b/internal/shards/planner.go
@@ -98,10 +98,15 @@
 	Candidate
 	load   float64
 	ranges []Range // held, in ascending order
+	// arriving is the number of ranges that are planned to move to the server.
+	arriving int
 }
 
 func (p *candidateLoad) utilization() float64 { return p.load / p.Capacity }
 
+// mayGetRange reports whether the server may get one more range.
+func (p *candidateLoad) mayGetRange() bool { return len(p.ranges)+p.arriving < maxRangesPerServer }
+
 // PlanRebalance returns moves that reduce the load of the busiest servers. It does
 // not move positions whose owner is no candidate; PlanFailover does.
 func PlanRebalance(a *Assignment, candidates []Candidate, load Load) []Move {
@@ -109,11 +114,10 @@
 		return nil
 	}
 	p := newPlanner(a, candidates, load)
-	total, capacity := 0.0, 0.0
-	for _, s := range p.candidates {
-		total += s.load
-		capacity += s.Capacity
+	if moves := p.spreadHotKeys(load.Samples); len(moves) > 0 {
+		return moves
 	}
+	total, capacity := p.totals()
 	mean := total / capacity
 	var moves []Move
 	settled := make(map[string]bool) // busy servers that no move can relieve
@@ -148,6 +152,15 @@
 	return moves
 }
 
+// totals returns the load and the capacity of all candidates.
+func (p *planner) totals() (load, capacity float64) {
+	for _, s := range p.candidates {
+		load += s.load
+		capacity += s.Capacity
+	}
+	return load, capacity
+}
+
 // busiestAndIdlest returns the busiest server that is not settled and the least
 // busy one that may get more ranges. Both are nil if there is no such pair.
 func (p *planner) busiestAndIdlest(settled map[string]bool) (busiest, idlest *candidateLoad) {
@@ -155,7 +168,7 @@
 		if !settled[s.ID] && (busiest == nil || s.utilization() > busiest.utilization()) {
 			busiest = s
 		}
-		if len(s.ranges) < maxRangesPerServer && (idlest == nil || s.utilization() < idlest.utilization()) {
+		if s.mayGetRange() && (idlest == nil || s.utilization() < idlest.utilization()) {
 			idlest = s
 		}
 	}
@@ -222,6 +235,8 @@
 			s.load += p.loadOf(r)
 			if r.Held() {
 				s.ranges = append(s.ranges, r)
+			} else {
+				s.arriving++
 			}
 		}
 	}
@@ -232,11 +247,7 @@
 // applyRateLimits reduces the capacity of servers with a rate limit, so that a fair
 // share of the load is not more than the limit.
 func (p *planner) applyRateLimits() {
-	load, capacity := 0.0, 0.0
-	for _, s := range p.candidates {
-		load += s.load
-		capacity += s.Capacity
-	}
+	load, capacity := p.totals()
 	for _, s := range p.candidates {
 		if s.MaxRate > 0 && load > 0 {
 			s.Capacity = min(s.Capacity, maxRateLimitUse*s.MaxRate*capacity/load)
@@ -289,6 +300,7 @@
 	load := p.loadOf(piece)
 	busiest.load -= load
 	idlest.load += load
+	idlest.arriving++
 	var remaining []Range
 	for _, r := range busiest.ranges {
 		if piece.From < r.From || piece.To > r.To {
@@ -333,11 +345,7 @@
 // brings the utilization of the server up to the mean, but may have a load of up to
 // minLoad in any case.
 func (p *planner) pieceEnd(start, last int, s *candidateLoad, minLoad float64) int {
-	total, capacity := 0.0, 0.0
-	for _, o := range p.candidates {
-		total += o.load
-		capacity += o.Capacity
-	}
+	total, capacity := p.totals()
 	unassigned := p.prefixSums[last+1] - p.prefixSums[start]
 	room := max((total+unassigned)/capacity*s.Capacity-s.load, minLoad)
 	end := start
