Recognize hot keys from recent rates and plan while moves are under way

Cause: rates in a window of 1 s show a fifth of a hot set after 200 ms, the next round waited for the slowest move of the last one and up to 400 ms more, and a manager that commits while grants are under way publishes none of them. Positions of about 4 requests/s, which no server has room for, left one by one.

Change: the meter also keeps rates in a window of 300 ms. Hot keys are looked for each 100 ms, also while ranges are released; ordinary rounds wait as before. A server is hot if its samples exceed twice its part by more than chance. If its recent rates are above those of the longer window, the ratio tells how much of the load is still missing. Positions with few samples get the mean of their neighbors. All positions that no server has room for move in one round. The threshold of ordinary rounds allows for the largest of many deviations in services of more than 32 servers. The manager publishes the newest assignment whose new owners have their grants, not only the last one, and does not move a range again before its new owner has its grant. Each change is still committed before it takes effect, and a published assignment was committed before.

--- a/internal/control/changes.go
+++ b/internal/control/changes.go
@@ -27,17 +27,11 @@
 	load := sync.OnceValue(func() shards.Load { return m.leadership.serviceLoad(m.service, now) })
 	next := m.assignment.NextVersion()
 	changed := m.completeReleases(next, servers, candidates, load, now)
-	changed = m.replaceOwners(next, servers, candidates, load, now) || changed
-	changed = m.replaceTokens(next) || changed
-	if !changed && now >= m.nextPlanAt && m.isSettled() {
-		m.nextPlanAt = now.Add(planInterval)
-		if moves := shards.PlanRebalance(m.assignment, candidates, load()); len(moves) > 0 {
-			for _, move := range moves {
-				m.log().Info("shards: move planned", zap.Uint16("from", move.From), zap.Uint16("to", move.To), zap.String("target", move.NewOwner))
-			}
-			next.Release(moves)
-			changed = true
-		}
+	replaced := m.replaceOwners(next, servers, candidates, load, now)
+	replaced = m.replaceTokens(next) || replaced
+	changed = changed || replaced
+	if !replaced {
+		changed = m.planMoves(next, candidates, load, now) || changed
 	}
 	if !changed {
 		return nil
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -62,7 +62,7 @@
 	service    string
 
 	// The fields up to mu are used only by the goroutine that calls step.
-	nextPlanAt boottime.Instant
+	nextPlanAt, nextHotPlanAt boottime.Instant
 	// firstServerAt, serverCountChangedAt and serverCount track the
 	// registration of servers before the first assignment.
 	firstServerAt, serverCountChangedAt boottime.Instant
@@ -74,6 +74,9 @@
 	holders    map[string]*holder
 	releases   map[uint16]*pendingRelease // by first position of the range
 	uncertain  bool                       // the outcome of the last commit is unknown
+	// unpublished holds the assignments from the published one on, in ascending order.
+	unpublished      []*shards.Assignment
+	publishedVersion int64
 	// grantsDeferred is true if maxOpeningSessions has deferred a grant.
 	grantsDeferred bool
 	adoptedVersion int64 // version of the assignment read last
@@ -234,6 +237,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.assignment, m.uncertain, m.adoptedVersion = a, false, a.Version
+	m.unpublished, m.publishedVersion = nil, a.Version
 	m.leadership.node.recordCommitted(m.service, a)
 	m.log().Info("shards: assignment adopted", zap.Int64("version", a.Version), zap.Int("ranges", len(a.Ranges)))
 }
@@ -278,20 +282,17 @@
 	m.log().Info("shards: change committed", zap.Int64("version", next.Version), zap.Int("ranges", len(next.Ranges)))
 }
 
-// publish makes the committed assignment visible to hosts once the new owners
-// have acknowledged their grants or their grants have failed. A new owner would
-// reject requests that arrive before its grant.
+// publish makes a committed assignment visible to hosts once the new owners have
+// acknowledged their grants or their grants have failed. A new owner would reject
+// requests that arrive before its grant.
 func (m *assignmentManager) publish() {
 	m.mu.Lock()
-	a := m.assignment
-	ready := true
-	for _, r := range a.Ranges {
-		if h := m.holders[r.Owner]; r.Held() && r.Token == a.Version && (h == nil || h.ackedAt[grantIDOf(r)] == 0) {
-			ready = ready && h != nil && h.failingSince != 0
-		}
+	a := m.newestReady()
+	if a != nil {
+		m.publishedVersion = a.Version
 	}
 	m.mu.Unlock()
-	if ready {
+	if a != nil {
 		m.leadership.node.view.setAssignment(m.service, a)
 	}
 }
--- a/internal/control/meter.go
+++ b/internal/control/meter.go
@@ -13,6 +13,9 @@
 const (
 	// loadWindow is short because keys become hot within seconds.
 	loadWindow = time.Second
+	// recentWindow is the window in which a hot set is recognized: its rates rise more
+	// than three times as fast as those of loadWindow.
+	recentWindow = 300 * time.Millisecond
 	// speedWindow is longer because the work of requests varies widely.
 	speedWindow = 4 * time.Second
 	// speedTTL is how long the speed of a server without responses is kept.
@@ -24,36 +27,48 @@
 // loadMeter estimates the request rates of a service's key positions from
 // exponentially decaying counts.
 type loadMeter struct {
-	counts    []float64
-	samples   float64
-	decayedAt boottime.Instant
+	counts, recentCounts   []float64
+	samples, recentSamples float64
+	decayedAt              boottime.Instant
 }
 
 func newLoadMeter(now boottime.Instant) *loadMeter {
-	return &loadMeter{counts: make([]float64, shards.PositionCount), decayedAt: now}
+	return &loadMeter{counts: make([]float64, shards.PositionCount), recentCounts: make([]float64, shards.PositionCount), decayedAt: now}
 }
 
 // add adds the counts that a host has reported.
 func (m *loadMeter) add(load *fleetpb.ServiceLoad) {
 	for i, position := range load.Positions {
 		if int(position) < len(m.counts) && i < len(load.Counts) {
-			m.counts[position] += float64(load.Counts[i])
-			m.samples += float64(load.Counts[i])
+			count := float64(load.Counts[i])
+			m.counts[position] += count
+			m.recentCounts[position] += count
+			m.samples += count
+			m.recentSamples += count
 		}
 	}
 }
 
 // load decays the counts up to now and returns them as rates.
 func (m *loadMeter) load(now boottime.Instant) shards.Load {
-	decay := math.Exp(-now.Sub(m.decayedAt).Seconds() / loadWindow.Seconds())
+	elapsed := now.Sub(m.decayedAt).Seconds()
 	m.decayedAt = now
-	m.samples *= decay
-	rates := make([]float64, len(m.counts))
-	for i := range m.counts {
-		m.counts[i] *= decay
-		rates[i] = m.counts[i] / loadWindow.Seconds()
+	rates := decayCounts(m.counts, &m.samples, elapsed, loadWindow.Seconds())
+	recent := decayCounts(m.recentCounts, &m.recentSamples, elapsed, recentWindow.Seconds())
+	return shards.Load{Rates: rates, Samples: m.samples, RecentRates: recent, RecentSamples: m.recentSamples, RecentWindowRatio: recentWindow.Seconds() / loadWindow.Seconds()}
+}
+
+// decayCounts decays counts and their sum by the elapsed seconds and returns the counts
+// as rates in a window in seconds.
+func decayCounts(counts []float64, sum *float64, elapsed, window float64) []float64 {
+	decay := math.Exp(-elapsed / window)
+	*sum *= decay
+	rates := make([]float64, len(counts))
+	for i := range counts {
+		counts[i] *= decay
+		rates[i] = counts[i] / window
 	}
-	return shards.Load{Rates: rates, Samples: m.samples}
+	return rates
 }
 
 // speedMeter estimates the speed of servers relative to the mean of their
--- a/internal/shards/hotkeys.go
+++ b/internal/shards/hotkeys.go
@@ -21,33 +21,119 @@
 	// minHotPieceShare is the least share of a server's fair load that a piece must
 	// have. Smaller ones stay, as each range needs a renewal of its own.
 	minHotPieceShare = 0.3
+	// hotSampleMargin and hotDeviations are by how many samples, and by how many standard
+	// deviations, a server must exceed its part at hotRatio. Rates of some 3 requests/s
+	// are measured from few samples, and the busiest of many servers exceeds its rate
+	// by chance.
+	hotSampleMargin, hotDeviations = 3, 2
+	// minSurge is the ratio of recent rates to those of the longer time above which a
+	// load counts as one that has just begun, and maxSurge bounds what its rates are
+	// multiplied by.
+	minSurge, maxSurge = 1.4, 6
+	// minOwnSamples is how many samples a position needs to be told from its neighbors,
+	// and smoothingRadius how many neighbors there are on each side.
+	minOwnSamples, smoothingRadius = 6, 7
 )
 
-// spreadHotKeys returns the moves that spread the load of servers far above the mean
+// PlanHotKeys returns the moves that spread the load of servers far above the mean
 // utilization. A run of hot positions is cut into pieces for as many servers as its
 // load needs; a position that no server has room for goes to a server with the most
-// capacity, and the other positions of that server leave.
-func (p *planner) spreadHotKeys(samples float64) []Move {
-	h := hotSpread{planner: p, limit: len(p.candidates) / serversPerHotMove}
-	if h.limit <= maxMovesPerRound {
+// capacity, and the other positions of that server leave. There are none in services
+// that are small enough for PlanRebalance.
+func PlanHotKeys(a *Assignment, candidates []Candidate, load func() Load) []Move {
+	limit := len(candidates) / serversPerHotMove
+	if limit <= maxMovesPerRound {
 		return nil
 	}
-	total, capacity := p.totals()
-	h.mean = total / capacity
-	var hot []*candidateLoad
-	for _, s := range p.candidates {
-		noise := 2 / math.Sqrt(max(samples*s.load/max(total, 1e-9), 1))
-		if s.MaxRate == 0 && s.utilization() > h.mean*(hotRatio+noise) {
-			hot = append(hot, s)
-		}
+	rates, hot := hotRates(a, candidates, load())
+	if len(hot) == 0 {
+		return nil
 	}
-	slices.SortStableFunc(hot, func(a, b *candidateLoad) int { return cmp.Compare(b.utilization(), a.utilization()) })
-	for _, s := range hot {
-		h.relieve(s)
+	h := hotSpread{planner: newPlanner(a, candidates, Load{Rates: rates}), limit: limit}
+	h.mean = h.total / h.capacity
+	slices.SortStableFunc(h.candidates, func(x, y *candidateLoad) int { return cmp.Compare(y.utilization(), x.utilization()) })
+	for _, s := range h.candidates {
+		if hot[s.ID] {
+			h.relieve(s)
+		}
 	}
 	return h.moves
 }
 
+// hotRates returns the rates by which hot keys are spread, and the servers that have
+// them. The rates of a server whose load has just risen follow the recent ones.
+func hotRates(a *Assignment, candidates []Candidate, load Load) (rates []float64, hot map[string]bool) {
+	steady := newPlanner(a, candidates, Load{Rates: load.Rates})
+	recent := steady
+	if load.RecentRates != nil {
+		recent = newPlanner(a, candidates, Load{Rates: load.RecentRates})
+	}
+	hot, surges := make(map[string]bool), make(map[string]float64)
+	for i, s := range steady.candidates {
+		now := recent.candidates[i]
+		surging := recent.isHot(now, load.RecentSamples)
+		if s.MaxRate > 0 || !surging && !(steady.isHot(s, load.Samples) && recent.isHot(now, math.Inf(1))) {
+			continue
+		}
+		hot[s.ID] = true
+		if surging {
+			surges[s.ID] = load.surge(now.load / s.load)
+		}
+	}
+	rates = slices.Clone(load.Rates)
+	for _, r := range a.Ranges {
+		if r.Held() && hot[r.Owner] {
+			surge := max(surges[r.Owner], 1)
+			smooth(rates[r.From:int(r.To)+1], load.Rates[r.From:int(r.To)+1], surge, steadySampleRate(steady.total, load.Samples))
+		}
+	}
+	return rates, hot
+}
+
+// steadySampleRate returns the rate that one sample stands for.
+func steadySampleRate(total, samples float64) float64 { return total / max(samples, 1) }
+
+// smooth sets out to the rates of a range, multiplied by surge. Positions with few
+// samples get the mean of their neighbors: hot positions are adjacent, and a single
+// sample must not look like a position with a high rate.
+func smooth(out, rates []float64, surge, sampleRate float64) {
+	known := minOwnSamples * sampleRate
+	for i, rate := range rates {
+		if rate < known {
+			sum, n := 0.0, 0.0
+			for _, neighbor := range rates[max(i-smoothingRadius, 0):min(i+smoothingRadius+1, len(rates))] {
+				if neighbor < known {
+					sum, n = sum+neighbor, n+1
+				}
+			}
+			rate = sum / n
+		}
+		out[i] = rate * surge
+	}
+}
+
+// surge returns what rates are to be multiplied by whose recent estimate is ratio times
+// as high. Of a load that began t ago, an estimate in a window w has seen
+// 1-exp(-t/w). The ratio of two windows shows t, and so the part still missing, which
+// is nearly linear in the ratio.
+func (l Load) surge(ratio float64) float64 {
+	if ratio < minSurge {
+		return max(ratio, 1)
+	}
+	return min(1/max(1-ratio*l.RecentWindowRatio, 1.0/maxSurge), maxSurge)
+}
+
+// isHot reports whether the server's load is above hotRatio times its part, by more
+// than chance if it was measured from the given samples of all servers.
+func (p *planner) isHot(s *candidateLoad, samples float64) bool {
+	bound := hotRatio * s.Capacity / p.capacity // as a share of the total load
+	if math.IsInf(samples, 1) {
+		return s.load/p.total > bound
+	}
+	expected := bound * samples
+	return s.load/p.total*samples > expected+hotDeviations*math.Sqrt(expected)+hotSampleMargin
+}
+
 // hotSpread holds the moves of one round.
 type hotSpread struct {
 	*planner
@@ -73,9 +159,7 @@
 
 // relieve plans the moves away from one server.
 func (h *hotSpread) relieve(s *candidateLoad) {
-	position, load := h.heaviestPosition(s)
-	if target := h.roomiest(s); target == nil || load > h.room(target) && load > h.room(s) {
-		h.isolate(s, position, load)
+	if h.isolateHeavy(s) {
 		return
 	}
 	for h.room(s) < 0 && len(h.moves) < h.limit {
@@ -86,34 +170,78 @@
 	}
 }
 
-// isolate places a position that no server has room for on a server with the most
-// capacity. If it is hot by itself, the other positions of that server leave.
-func (h *hotSpread) isolate(s *candidateLoad, position uint16, load float64) {
-	fastest := s
-	for _, c := range h.candidates {
-		if c.Capacity > fastest.Capacity*minCapacityRatio || fastest != s && c.Capacity >= fastest.Capacity && c.load < fastest.load {
-			fastest = c
+// isolateHeavy moves the positions that no server has room for to servers with the
+// most capacity; such a server keeps the heaviest. If a position is hot by itself, the
+// other positions of its server leave. It reports whether s was emptied in this way.
+func (h *hotSpread) isolateHeavy(s *candidateLoad) bool {
+	kept := false
+	for h.room(s) < 0 && len(h.moves) < h.limit {
+		position, load := h.heaviestPosition(s)
+		roomiest, fastest := h.roomiest(s), h.fastest(s)
+		if roomiest == nil || fastest == nil || load <= h.room(roomiest) {
+			return false
+		}
+		if !kept && s.Capacity*minCapacityRatio >= fastest.Capacity {
+			kept = true
+			s.ranges = without(s.ranges, position)
+			if h.isHotAlone(s, load) {
+				h.empty(s)
+				return true
+			}
+			continue
+		}
+		if (fastest.load+load)/fastest.Capacity >= s.utilization() {
+			return false
 		}
-	}
-	if fastest != s && load/fastest.Capacity < s.utilization() {
 		h.move(s, fastest, Range{From: position, To: position})
-		s = fastest
+		if h.isHotAlone(fastest, load) {
+			h.empty(fastest)
+		}
 	}
-	if load < hotRatio*h.mean*s.Capacity {
-		return
+	return false
+}
+
+// isHotAlone reports whether a single position makes its server hot.
+func (h *hotSpread) isHotAlone(s *candidateLoad, load float64) bool {
+	return load > hotRatio*h.mean*s.Capacity
+}
+
+// fastest returns the least busy server other than s among those with the most
+// capacity, nil if there is none.
+func (h *hotSpread) fastest(s *candidateLoad) *candidateLoad {
+	largest := slices.MaxFunc(h.candidates, func(x, y *candidateLoad) int { return cmp.Compare(x.Capacity, y.Capacity) })
+	var best *candidateLoad
+	for _, c := range h.candidates {
+		if c != s && c.Capacity*minCapacityRatio >= largest.Capacity && c.mayGetRange() && (best == nil || c.utilization() < best.utilization()) {
+			best = c
+		}
 	}
+	return best
+}
+
+// empty moves all ranges of the server away.
+func (h *hotSpread) empty(s *candidateLoad) {
 	for _, r := range slices.Clone(s.ranges) {
+		h.cut(s, r)
+	}
+}
+
+// without returns the ranges without a position.
+func without(ranges []Range, position uint16) []Range {
+	var out []Range
+	for _, r := range ranges {
 		if position < r.From || position > r.To {
-			h.cut(s, r)
+			out = append(out, r)
 			continue
 		}
 		if position > r.From {
-			h.cut(s, Range{From: r.From, To: position - 1})
+			out = append(out, Range{From: r.From, To: position - 1})
 		}
 		if position < r.To {
-			h.cut(s, Range{From: position + 1, To: r.To})
+			out = append(out, Range{From: position + 1, To: r.To})
 		}
 	}
+	return out
 }
 
 // hotWindow returns the narrowest run of positions in one range of the server with the
@@ -152,7 +280,7 @@
 		}
 		piece := Range{From: uint16(start), To: uint16(end)}
 		start = end + 1
-		if h.loadOf(piece) < minHotPieceShare*h.mean*target.Capacity || h.loadOf(piece) > s.load {
+		if load := h.loadOf(piece); load < minHotPieceShare*h.mean*target.Capacity || load > h.room(target) {
 			continue
 		}
 		h.move(s, target, piece)
--- a/internal/shards/planner.go
+++ b/internal/shards/planner.go
@@ -22,6 +22,12 @@
 	Rates []float64
 	// Samples is the number of requests that the rates were computed from.
 	Samples float64
+	// RecentRates and RecentSamples are the same over a shorter time; RecentRates is nil
+	// if there are none.
+	RecentRates   []float64
+	RecentSamples float64
+	// RecentWindowRatio is the shorter time relative to the longer one.
+	RecentWindowRatio float64
 }
 
 // Parameters of the planner.
@@ -91,6 +97,8 @@
 	prefixSums []float64 // prefixSums[i] is the load of all positions below i
 	servers    map[string]*candidateLoad
 	candidates []*candidateLoad
+	// total and capacity are those of all candidates before any move.
+	total, capacity float64
 }
 
 // candidateLoad is a candidate with its planned load.
@@ -114,11 +122,8 @@
 		return nil
 	}
 	p := newPlanner(a, candidates, load)
-	if moves := p.spreadHotKeys(load.Samples); len(moves) > 0 {
-		return moves
-	}
-	total, capacity := p.totals()
-	mean := total / capacity
+	mean := p.total / p.capacity
+	deviations := noiseDeviations(len(candidates))
 	var moves []Move
 	settled := make(map[string]bool) // busy servers that no move can relieve
 	for len(moves) < maxMovesPerRound {
@@ -132,7 +137,7 @@
 		}
 		// The relative error of a server's rate is about one over the square root of
 		// its samples, and the busiest of many servers exceeds its rate by chance.
-		noise := 2 / math.Sqrt(max(load.Samples*busiest.load/max(total, 1e-9), 1))
+		noise := deviations / math.Sqrt(max(load.Samples*busiest.load/max(p.total, 1e-9), 1))
 		if busiest.MaxRate > 0 {
 			// Requests beyond a rate limit are rejected, which costs more than a move
 			// that turns out not to have been needed.
@@ -161,6 +166,16 @@
 	return load, capacity
 }
 
+// noiseDeviations returns how many standard deviations the busiest of n servers may
+// exceed the threshold by chance. The largest of n normal variates is about
+// sqrt(2 ln n) deviations above their mean.
+func noiseDeviations(n int) float64 {
+	if n <= maxMovesPerRound*serversPerHotMove {
+		return 2
+	}
+	return math.Sqrt(2 * math.Log(float64(n)))
+}
+
 // busiestAndIdlest returns the busiest server that is not settled and the least
 // busy one that may get more ranges. Both are nil if there is no such pair.
 func (p *planner) busiestAndIdlest(settled map[string]bool) (busiest, idlest *candidateLoad) {
@@ -241,6 +256,7 @@
 		}
 	}
 	p.applyRateLimits()
+	p.total, p.capacity = p.totals()
 	return p
 }
 
