Tell callers of an overloaded owner when they can be served

Cause: a caller that the owner of its key can't serve in time was told to return after the queue of that moment. All refused callers returned together, found the queue full again and, past their target, were refused again.

Change: refused callers of one owner get different times to return at, as rate limits do it (up to 5 s ahead), as far apart as a fifth of the owner's rate. That share is kept for callers that return: a token bucket gives them places before new requests, up to their deadline. More than the share gets no places, so callers that return earlier than told don't displace others. The times are forgotten once the owner can serve its load. Hosts that place requests themselves tell the length of the queue as before.

--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -188,6 +188,11 @@
 	offeredLoad         loadMeter // of requests for the server's keys
 	connections         idleConnections
 	limit               *rateLimit // nil if the server has none
+	// promisedUntil is the latest time that a caller was told to return at whose key the
+	// server owns.
+	promisedUntil Instant
+	// places paces the requests of callers that return; nil if none was turned away.
+	places *tokenBucket
 }
 
 // effectiveSpeed returns the estimated speed, reduced during the warmup.
@@ -205,6 +210,7 @@
 	enqueuedAt Instant
 	queue      string // name of the queue
 	removed    bool   // from the queue, in which it may still have its place
+	hasPlace   bool   // its caller returned and got a place
 }
 
 // Scheduler queues the requests of one service and assigns them to servers.
@@ -286,10 +292,11 @@
 // request itself among them if it need not wait.
 func (sched *Scheduler) Submit(now Instant, request Request) []Decision {
 	sched.offeredLoad.add(now, request.Work)
-	if s := sched.owningServer(request); s != nil {
-		s.offeredLoad.add(now, request.Work)
+	owner := sched.owningServer(request)
+	if owner != nil {
+		owner.offeredLoad.add(now, request.Work)
 	}
-	r := &queuedRequest{Request: request, enqueuedAt: now}
+	r := &queuedRequest{Request: request, enqueuedAt: now, hasPlace: owner.takePlace(now, request)}
 	return sched.decideQueue(now, sched.queues.add(sched.queueName(r), r))
 }
 
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -122,14 +122,16 @@
 	return snap
 }
 
-// sortQueue sorts a queue: first the requests that can still meet their target,
-// then by priority, then previously rejected requests, then the earliest target.
+// sortQueue sorts a queue: first the requests of callers that got a place when they
+// returned, then those that can still meet their target, then by priority, then
+// previously rejected requests, then the earliest target.
 func sortQueue(queue []*queuedRequest, now Instant) {
 	if len(queue) < 2 {
 		return
 	}
 	slices.SortStableFunc(queue, func(a, b *queuedRequest) int {
 		return cmp.Or(
+			compareBool(b.hasPlace, a.hasPlace),
 			compareBool(b.meetsTarget(now), a.meetsTarget(now)),
 			cmp.Compare(a.Priority, b.Priority),
 			compareBool(b.PreviouslyRejected, a.PreviouslyRejected),
@@ -217,6 +219,7 @@
 	service := time.Duration(float64(r.Work) / speed)
 	delay := s.paceDelay(now, ahead.count)
 	if sched.hasRoom(s) && now >= s.pausedUntil && delay == 0 {
+		s.endOverload(now, sched.slotShare, r.Work.Seconds())
 		return sched.assign(now, r, s, decision), true
 	}
 	wait := time.Duration(float64(ahead.work+r.Work/2) / (speed * float64(s.Slots) * sched.slotShare))
@@ -224,12 +227,12 @@
 	end := now.Add(wait + service)
 	// A request that waits for a server with a rate limit keeps its place up to its
 	// deadline: it was queued for a time at which the server accepts it.
-	late := end > r.Target && (s.limit == nil || r.enqueuedAt == now)
+	late := end > r.Target && (s.limit == nil || r.enqueuedAt == now) && !r.hasPlace
 	if end > r.Deadline || late && s.offeredLoad.current(now) > fullLoadRatio*s.workCapacity(now, sched.slotShare, r.Work.Seconds()) {
 		if s.limit != nil && delay == wait {
 			return reject(decision, ReasonRateLimited, s.limit.retryAfter(now, wait)), true
 		}
-		return reject(decision, ReasonOverload, wait), true
+		return reject(decision, ReasonOverload, sched.returnAfter(now, s, r, wait)), true
 	}
 	return decision, false
 }
