--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -395,12 +395,3 @@
 	s.estimatedSpeed = speed
 	s.meanExpectedSeconds, s.meanObservedSeconds = work.Seconds(), work.Seconds()/speed
 }
-
-// owningServer returns the server that owns the request's key, nil if the request
-// has no key or the key has no usable owner.
-func (sched *Scheduler) owningServer(request Request) *serverState {
-	if sched.ownerAt == nil || request.Position < 0 {
-		return nil
-	}
-	return sched.servers[sched.ownerAt(request.Position).Server]
-}
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -36,6 +36,15 @@
 	return state.Server
 }
 
+// owningServer returns the server that owns the request's key, nil if the request
+// has no key or the key has no usable owner.
+func (sched *Scheduler) owningServer(request Request) *serverState {
+	if sched.ownerAt == nil || request.Position < 0 {
+		return nil
+	}
+	return sched.servers[sched.ownerAt(request.Position).Server]
+}
+
 // decideQueue returns every decision about one queue that can be made at now.
 func (sched *Scheduler) decideQueue(now Instant, name string) []Decision {
 	queue := sched.queues.get(name)
