Move narrow pieces in services of more than 32 servers

Cause: the cost of a piece counts its width as a share of all positions. In a large service, all positions of a server are some 0.5 % of that, so they moved as readily as a few hot ones.

Change: above 32 servers the width counts relative to the part of a server. The window of a hot run holds the load that has to leave and no more. A position gets a server for itself only if it is above three times the mean by itself, not two: rates of a fifth of a second made positions of 4 requests/s look like such.

--- a/internal/shards/hotkeys.go
+++ b/internal/shards/hotkeys.go
@@ -11,12 +11,13 @@
 	// hotRatio is the ratio of a server's utilization to the mean above which its keys
 	// are hot: they are spread over several servers in one round.
 	hotRatio = 2
+	// aloneRatio is the ratio above which a single position gets its server for itself.
+	aloneRatio = 3
 	// hotFillRatio is the ratio up to which servers are given hot keys. It leaves room
 	// for the error of rates that were measured for a part of a second.
 	hotFillRatio = 1.8
 	// serversPerHotMove bounds a round by the size of the service: one move for so many
-	// servers. Services that get no more than maxMovesPerRound by it are balanced move
-	// by move.
+	// servers.
 	serversPerHotMove = 4
 	// minHotPieceShare is the least share of a server's fair load that a piece must
 	// have. Smaller ones stay, as each range needs a renewal of its own.
@@ -25,7 +26,7 @@
 	// deviations, a server must exceed its part at hotRatio. Rates of some 3 requests/s
 	// are measured from few samples, and the busiest of many servers exceeds its rate
 	// by chance.
-	hotSampleMargin, hotDeviations = 3, 2
+	hotSampleMargin, hotDeviations = 1, 2
 	// minSurge is the ratio of recent rates to those of the longer time above which a
 	// load counts as one that has just begun, and maxSurge bounds what its rates are
 	// multiplied by.
@@ -41,15 +42,14 @@
 // capacity, and the other positions of that server leave. There are none in services
 // that are small enough for PlanRebalance.
 func PlanHotKeys(a *Assignment, candidates []Candidate, load func() Load) []Move {
-	limit := len(candidates) / serversPerHotMove
-	if limit <= maxMovesPerRound {
+	if len(candidates) <= maxSmallService {
 		return nil
 	}
 	rates, hot := hotRates(a, candidates, load())
 	if len(hot) == 0 {
 		return nil
 	}
-	h := hotSpread{planner: newPlanner(a, candidates, Load{Rates: rates}), limit: limit}
+	h := hotSpread{planner: newPlanner(a, candidates, Load{Rates: rates}), limit: max(maxMovesPerRound, len(candidates)/serversPerHotMove)}
 	h.mean = h.total / h.capacity
 	slices.SortStableFunc(h.candidates, func(x, y *candidateLoad) int { return cmp.Compare(y.utilization(), x.utilization()) })
 	for _, s := range h.candidates {
@@ -203,7 +203,7 @@
 
 // isHotAlone reports whether a single position makes its server hot.
 func (h *hotSpread) isHotAlone(s *candidateLoad, load float64) bool {
-	return load > hotRatio*h.mean*s.Capacity
+	return load > aloneRatio*h.mean*s.Capacity
 }
 
 // fastest returns the least busy server other than s among those with the most
@@ -245,13 +245,13 @@
 }
 
 // hotWindow returns the narrowest run of positions in one range of the server with the
-// given load, or with nearly the whole load of the range if that is less.
+// given load, or with the whole load of the range if that is less.
 func (h *hotSpread) hotWindow(s *candidateLoad, load float64) (Range, bool) {
 	if len(s.ranges) == 0 {
 		return Range{}, false
 	}
 	r := slices.MaxFunc(s.ranges, func(x, y Range) int { return cmp.Compare(h.loadOf(x), h.loadOf(y)) })
-	load = min(load, 0.9*h.loadOf(r))
+	load = min(load, (1-1e-9)*h.loadOf(r))
 	best, width := r, r.Width()+1
 	start := int(r.From)
 	for end := int(r.From); end <= int(r.To); end++ {
--- a/internal/shards/planner.go
+++ b/internal/shards/planner.go
@@ -59,6 +59,13 @@
 	// maxFailoverOwners bounds the number of servers among which a lost range is
 	// split.
 	maxFailoverOwners = 4
+	// maxSmallService is the largest number of servers whose service is balanced move by
+	// move, by rates that are exact enough for that.
+	maxSmallService = 32
+	// partWidthCost is the cost of a piece as wide as a server's part of all positions in
+	// a service above maxSmallService. Such parts are narrow, and all of one would move
+	// as readily as a few hot positions.
+	partWidthCost = 0.5
 	// uniformLoadShare is the extra load that is spread evenly over all positions, as
 	// a share of the total, so that positions without traffic are balanced as well.
 	uniformLoadShare = 0.03
@@ -99,6 +106,9 @@
 	candidates []*candidateLoad
 	// total and capacity are those of all candidates before any move.
 	total, capacity float64
+	// widthCost is the cost of a piece of all positions, relative to the shortfall of its
+	// load.
+	widthCost float64
 }
 
 // candidateLoad is a candidate with its planned load.
@@ -170,7 +180,7 @@
 // exceed the threshold by chance. The largest of n normal variates is about
 // sqrt(2 ln n) deviations above their mean.
 func noiseDeviations(n int) float64 {
-	if n <= maxMovesPerRound*serversPerHotMove {
+	if n <= maxSmallService {
 		return 2
 	}
 	return math.Sqrt(2 * math.Log(float64(n)))
@@ -257,6 +267,10 @@
 	}
 	p.applyRateLimits()
 	p.total, p.capacity = p.totals()
+	p.widthCost = 1
+	if n := len(candidates); n > maxSmallService {
+		p.widthCost = partWidthCost * float64(n)
+	}
 	return p
 }
 
@@ -293,7 +307,7 @@
 			if pieceLoad < targetLoad*minShare || pieceLoad < minGainShare*s.load {
 				continue
 			}
-			width := float64(end-start) / PositionCount
+			width := float64(end-start) / PositionCount * p.widthCost
 			// A piece inside a range splits it in three, one at an edge in two; each
 			// range needs a renewal of its own.
 			splitCost := 0.0
