--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -198,6 +198,11 @@
 	connections         idleConnections
 	limit               *rateLimit // nil if the server has none
 	sentCold            int64      // requests since the server turned cold
+	// promisedUntil is the latest time that a caller was told to return at whose key the
+	// server owns.
+	promisedUntil Instant
+	// places paces the requests of callers that return; nil if none was turned away.
+	places *tokenBucket
 }
 
 // queuedRequest is a request in a queue.
@@ -206,6 +211,7 @@
 	enqueuedAt Instant
 	queue      string // name of the queue
 	removed    bool   // from the queue, in which it may still have its place
+	hasPlace   bool   // its caller returned and got a place
 }
 
 // Scheduler queues the requests of one service and assigns them to servers.
@@ -296,10 +302,11 @@
 func (sched *Scheduler) Submit(now Instant, request Request) []Decision {
 	sched.noteSubmit(now)
 	sched.offeredLoad.add(now, request.Work)
-	if s := sched.owningServer(request); s != nil {
-		s.offeredLoad.add(now, request.Work)
+	owner := sched.owningServer(request)
+	if owner != nil {
+		owner.offeredLoad.add(now, request.Work)
 	}
-	r := &queuedRequest{Request: request, enqueuedAt: now}
+	r := &queuedRequest{Request: request, enqueuedAt: now, hasPlace: owner.takePlace(now, request)}
 	return sched.decideQueue(now, sched.queues.add(sched.queueName(r), r))
 }
 
@@ -347,12 +354,3 @@
 	// Only requests that can go to this server can use the free slot.
 	return append(sched.decideQueue(now, request.server), sched.decideQueue(now, unkeyedQueue)...)
 }
-
-// owningServer returns the server that owns the request's key, nil if the request
-// has no key or the key has no usable owner.
-func (sched *Scheduler) owningServer(request Request) *serverState {
-	if sched.ownerAt == nil || request.Position < 0 {
-		return nil
-	}
-	return sched.servers[sched.ownerAt(request.Position).Server]
-}
--- a/internal/shards/planner.go
+++ b/internal/shards/planner.go
@@ -22,6 +22,12 @@
 	Rates []float64
 	// Samples is the number of requests that the rates were computed from.
 	Samples float64
+	// RecentRates and RecentSamples are the same over a shorter time; RecentRates is nil
+	// if there are none.
+	RecentRates   []float64
+	RecentSamples float64
+	// RecentWindowRatio is the shorter time relative to the longer one.
+	RecentWindowRatio float64
 }
 
 // Parameters of the planner.
@@ -53,6 +59,13 @@
 	// maxFailoverOwners bounds the number of servers among which a lost range is
 	// split.
 	maxFailoverOwners = 4
+	// maxSmallService is the largest number of servers whose service is balanced move by
+	// move, by rates that are exact enough for that.
+	maxSmallService = 32
+	// partWidthCost is the cost of a piece as wide as a server's part of all positions in
+	// a service above maxSmallService. Such parts are narrow, and all of one would move
+	// as readily as a few hot positions.
+	partWidthCost = 0.5
 	// uniformLoadShare is the extra load that is spread evenly over all positions, as
 	// a share of the total, so that positions without traffic are balanced as well.
 	uniformLoadShare = 0.03
@@ -91,6 +104,11 @@
 	prefixSums []float64 // prefixSums[i] is the load of all positions below i
 	servers    map[string]*candidateLoad
 	candidates []*candidateLoad
+	// total and capacity are those of all candidates before any move.
+	total, capacity float64
+	// widthCost is the cost of a piece of all positions, relative to the shortfall of its
+	// load.
+	widthCost float64
 }
 
 // candidateLoad is a candidate with its planned load.
@@ -98,10 +116,15 @@
 	Candidate
 	load   float64
 	ranges []Range // held, in ascending order
+	// arriving is the number of ranges that are planned to move to the server.
+	arriving int
 }
 
 func (p *candidateLoad) utilization() float64 { return p.load / p.Capacity }
 
+// mayGetRange reports whether the server may get one more range.
+func (p *candidateLoad) mayGetRange() bool { return len(p.ranges)+p.arriving < maxRangesPerServer }
+
 // PlanRebalance returns moves that reduce the load of the busiest servers. It does
 // not move positions whose owner is no candidate; PlanFailover does.
 func PlanRebalance(a *Assignment, candidates []Candidate, load Load) []Move {
@@ -109,15 +132,15 @@
 		return nil
 	}
 	p := newPlanner(a, candidates, load)
-	total, capacity := 0.0, 0.0
-	for _, s := range p.candidates {
-		total += s.load
-		capacity += s.Capacity
-	}
-	mean := total / capacity
+	mean := p.total / p.capacity
+	deviations := noiseDeviations(len(candidates))
 	var moves []Move
 	settled := make(map[string]bool) // busy servers that no move can relieve
-	for len(moves) < maxMovesPerRound {
+	limit := maxMovesPerRound
+	if len(candidates) > maxSmallService {
+		limit = min(limit, rangeBudget(a, len(candidates))/2)
+	}
+	for len(moves) < limit {
 		busiest, idlest := p.busiestAndIdlest(settled)
 		if busiest == nil {
 			break
@@ -128,7 +151,7 @@
 		}
 		// The relative error of a server's rate is about one over the square root of
 		// its samples, and the busiest of many servers exceeds its rate by chance.
-		noise := 2 / math.Sqrt(max(load.Samples*busiest.load/max(total, 1e-9), 1))
+		noise := deviations / math.Sqrt(max(load.Samples*busiest.load/max(p.total, 1e-9), 1))
 		if busiest.MaxRate > 0 {
 			// Requests beyond a rate limit are rejected, which costs more than a move
 			// that turns out not to have been needed.
@@ -148,6 +171,25 @@
 	return moves
 }
 
+// totals returns the load and the capacity of all candidates.
+func (p *planner) totals() (load, capacity float64) {
+	for _, s := range p.candidates {
+		load += s.load
+		capacity += s.Capacity
+	}
+	return load, capacity
+}
+
+// noiseDeviations returns how many standard deviations the busiest of n servers may
+// exceed the threshold by chance. The largest of n normal variates is about
+// sqrt(2 ln n) deviations above their mean.
+func noiseDeviations(n int) float64 {
+	if n <= maxSmallService {
+		return 2
+	}
+	return math.Sqrt(2 * math.Log(float64(n)))
+}
+
 // busiestAndIdlest returns the busiest server that is not settled and the least
 // busy one that may get more ranges. Both are nil if there is no such pair.
 func (p *planner) busiestAndIdlest(settled map[string]bool) (busiest, idlest *candidateLoad) {
@@ -155,7 +197,7 @@
 		if !settled[s.ID] && (busiest == nil || s.utilization() > busiest.utilization()) {
 			busiest = s
 		}
-		if len(s.ranges) < maxRangesPerServer && (idlest == nil || s.utilization() < idlest.utilization()) {
+		if s.mayGetRange() && (idlest == nil || s.utilization() < idlest.utilization()) {
 			idlest = s
 		}
 	}
@@ -222,21 +264,24 @@
 			s.load += p.loadOf(r)
 			if r.Held() {
 				s.ranges = append(s.ranges, r)
+			} else {
+				s.arriving++
 			}
 		}
 	}
 	p.applyRateLimits()
+	p.total, p.capacity = p.totals()
+	p.widthCost = 1
+	if n := len(candidates); n > maxSmallService {
+		p.widthCost = partWidthCost * float64(n)
+	}
 	return p
 }
 
 // applyRateLimits reduces the capacity of servers with a rate limit, so that a fair
 // share of the load is not more than the limit.
 func (p *planner) applyRateLimits() {
-	load, capacity := 0.0, 0.0
-	for _, s := range p.candidates {
-		load += s.load
-		capacity += s.Capacity
-	}
+	load, capacity := p.totals()
 	for _, s := range p.candidates {
 		if s.MaxRate > 0 && load > 0 {
 			s.Capacity = min(s.Capacity, maxRateLimitUse*s.MaxRate*capacity/load)
@@ -266,7 +311,7 @@
 			if pieceLoad < targetLoad*minShare || pieceLoad < minGainShare*s.load {
 				continue
 			}
-			width := float64(end-start) / PositionCount
+			width := float64(end-start) / PositionCount * p.widthCost
 			// A piece inside a range splits it in three, one at an edge in two; each
 			// range needs a renewal of its own.
 			splitCost := 0.0
@@ -289,6 +334,7 @@
 	load := p.loadOf(piece)
 	busiest.load -= load
 	idlest.load += load
+	idlest.arriving++
 	var remaining []Range
 	for _, r := range busiest.ranges {
 		if piece.From < r.From || piece.To > r.To {
@@ -333,11 +379,7 @@
 // brings the utilization of the server up to the mean, but may have a load of up to
 // minLoad in any case.
 func (p *planner) pieceEnd(start, last int, s *candidateLoad, minLoad float64) int {
-	total, capacity := 0.0, 0.0
-	for _, o := range p.candidates {
-		total += o.load
-		capacity += o.Capacity
-	}
+	total, capacity := p.totals()
 	unassigned := p.prefixSums[last+1] - p.prefixSums[start]
 	room := max((total+unassigned)/capacity*s.Capacity-s.load, minLoad)
 	end := start
