--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -21,9 +21,9 @@
 	}
 	rate := returnShare * s.workCapacity(now, 1, r.Work.Seconds()) / max(r.Work.Seconds(), 1e-3)
 	if s.places == nil {
-		s.places = newTokenBucket(now, rate)
+		s.places = newTokenBucket(now, rate, limitBurst(rate))
 	}
-	s.places.setRate(now, rate)
+	s.places.setRate(now, rate, limitBurst(rate))
 	wait = max(wait, minRetryAfter)
 	s.promisedUntil = min(max(now.Add(wait), s.promisedUntil.Add(s.places.interval())), now.Add(max(wait, maxRetrySpread)))
 	return s.promisedUntil.Sub(now)
