Take the momentary speed of servers into account

A fourth figure in the load that a server reports made the whole header invalid, and samples from moments at which a server was slow entered its lasting speed. Three or four figures are accepted now, and a bad fourth one is ignored. The time of a sample is divided by it, at the scheduler, in the reports to the leader and in the cost estimates. Waits and capacities are estimated with the lasting speed. The factor ends with the server's process. Dispatchers get it with the report of a request's end.

Samples of a paced cold server are taken at its warm speed, too: the speed was otherwise halved twice and stayed low after the warmup.

--- a/internal/dispatch/ratelimit.go
+++ b/internal/dispatch/ratelimit.go
@@ -93,7 +93,7 @@
 // workCapacity returns the work per second that the server can serve within a share
 // of its slots and its limit, given the work of a request.
 func (s *serverState) workCapacity(now Instant, share, workSeconds float64) float64 {
-	capacity := s.effectiveSpeed(now) * float64(s.Slots) * share
+	capacity := s.lastingSpeed(now) * float64(s.Slots) * share
 	if s.limit != nil {
 		capacity = min(capacity, workSeconds/s.limit.interval().Seconds())
 	}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -71,7 +71,7 @@
 	// requests of the service are still queued.
 	QueueTime   time.Duration
 	QueueLength int
-	// Speed is the server's estimated speed at the time of the decision, and
+	// Speed is the server's estimated lasting speed at the time of the decision, and
 	// Saturated is true if the server had no free slot.
 	Speed     float64
 	Saturated bool
@@ -196,6 +196,7 @@
 	connections         idleConnections
 	limit               *rateLimit // nil if the server has none
 	sentCold            int64      // requests since the server turned cold
+	momentary           momentaryTime
 }
 
 // queuedRequest is a request in a queue.
@@ -234,10 +235,11 @@
 
 // inFlightRequest is a request that has been assigned to a server.
 type inFlightRequest struct {
-	server     string
-	hostID     uint64
-	assignedAt Instant
-	work       time.Duration
+	server      string
+	incarnation int64
+	hostID      uint64
+	assignedAt  Instant
+	work        time.Duration
 	// saturated is true if the server had no free slot when the request was
 	// assigned; the request's time then includes a wait at the server.
 	saturated bool
@@ -329,6 +331,9 @@
 	// queue; HasLoad is false if it reported no load.
 	Running, Waiting int
 	HasLoad          bool
+	// TimePercent is how long work takes at the server at present, in percent of its
+	// usual time; 0 if it does not say.
+	TimePercent int
 }
 
 // Complete frees the slot of a request and returns the resulting decisions.
@@ -340,6 +345,9 @@
 	delete(sched.inFlight, id)
 	if s := sched.servers[request.server]; s != nil {
 		s.inFlightCount = max(s.inFlightCount-1, 0)
+		if result.TimePercent > 0 && request.incarnation == s.Incarnation {
+			s.momentary = newMomentaryTime(now, result.TimePercent)
+		}
 		s.recordResult(now, request, result)
 	}
 	// Only requests that can go to this server can use the free slot.
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -97,7 +97,7 @@
 	snap := snapshot{now: now}
 	ejected := 0
 	for _, s := range sched.sortedServers {
-		speed := s.effectiveSpeed(now)
+		speed := s.lastingSpeed(now)
 		snap.meanSpeed += speed
 		if s.failureRate > ejectionFailureRate {
 			ejected++
@@ -213,7 +213,7 @@
 		}
 		return decision, false
 	}
-	speed := s.effectiveSpeed(now)
+	speed := s.lastingSpeed(now)
 	service := time.Duration(float64(r.Work) / speed)
 	delay := s.paceDelay(now, ahead.count)
 	if sched.hasRoom(s) && now >= s.pausedUntil && delay == 0 {
@@ -244,11 +244,11 @@
 // assign completes the decision to send a request to a server, and counts it in.
 func (sched *Scheduler) assign(now Instant, r *queuedRequest, s *serverState, decision Decision) Decision {
 	s.connections.markInUse(r.HostID)
-	sched.inFlight[r.ID] = inFlightRequest{server: s.ID, hostID: r.HostID, assignedAt: now, work: r.Work, saturated: s.inFlightCount >= s.Slots}
+	sched.inFlight[r.ID] = inFlightRequest{server: s.ID, incarnation: s.Incarnation, hostID: r.HostID, assignedAt: now, work: r.Work, saturated: s.inFlightCount >= s.Slots}
 	s.inFlightCount++
 	s.lastAssignedAt = now
 	sched.take(now, s, decision.QueueTime)
-	decision.Server, decision.Speed, decision.Saturated = s.ID, s.effectiveSpeed(now), s.inFlightCount > s.Slots
+	decision.Server, decision.Speed, decision.Saturated = s.ID, s.lastingSpeed(now), s.inFlightCount > s.Slots
 	return decision
 }
 
--- a/internal/dispatch/warmup.go
+++ b/internal/dispatch/warmup.go
@@ -92,6 +92,9 @@
 	case s.Warmup == 0 && wasCold:
 		s.warmupEnd = now
 	}
+	if restarted {
+		s.momentary = momentaryTime{}
+	}
 	if turnsCold {
 		s.sentCold = 0
 		// What a dispatcher has just sent to the warm server is not known to the
@@ -108,6 +111,15 @@
 	}
 }
 
+// warmTime returns how long work that took elapsed at a paced server takes when it is
+// warm. The speed would otherwise be halved twice, and stay low after the warmup.
+func (s *serverState) warmTime(now Instant, elapsed time.Duration) time.Duration {
+	if s.isCold() && now < s.warmupEnd {
+		return time.Duration(float64(elapsed) * warmupSpeedFactor)
+	}
+	return elapsed
+}
+
 // noteSubmit leaves idleTokens in the paces of cold servers if this dispatcher has had no
 // request for dutyIdle. Hosts may learn that it dispatches the service before it does
 // itself, and then the former dispatcher may still send.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -281,6 +281,8 @@
 		q.placement.Exclude = append(q.placement.Exclude, decision.Server)
 	}
 	if success {
+		// Costs and speeds are lasting ones.
+		took = dispatch.UsualTime(took, result.Load.TimePercent)
 		// Time spent queueing at the server says nothing about the work.
 		uncontended := !decision.Saturated && (!result.HasLoad || result.Load.Waiting == 0)
 		if !uncontended {
@@ -328,7 +330,7 @@
 
 // dispatchResult converts a result for the dispatcher.
 func dispatchResult(result exchange.Result) dispatch.Result {
-	out := dispatch.Result{Running: result.Load.Running, Waiting: result.Load.Waiting, HasLoad: result.HasLoad}
+	out := dispatch.Result{Running: result.Load.Running, Waiting: result.Load.Waiting, HasLoad: result.HasLoad, TimePercent: result.Load.TimePercent}
 	switch {
 	case result.Outcome == exchange.Answered && result.Status < http.StatusInternalServerError:
 		out.Outcome = dispatch.Succeeded
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -31,7 +31,8 @@
 	// refuses it.
 	ExpectInstance string
 	Instance       string
-	// Load holds the server's running requests, waiting requests and slots.
+	// Load holds the server's running requests, waiting requests and slots, and maybe
+	// how long work takes at present, in percent of the usual time.
 	Load string
 	// NotExecuted states that the server did not execute the request.
 	NotExecuted string
@@ -68,7 +69,15 @@
 func (o Outcome) String() string { return outcomeNames[o] }
 
 // ServerLoad is the load that a server reports with a response.
-type ServerLoad struct{ Running, Waiting, Slots int }
+type ServerLoad struct {
+	Running, Waiting, Slots int
+	// TimePercent is how long work takes at the server at present: 100 if as long as
+	// usual, 300 if three times as long; 0 if it does not say.
+	TimePercent int
+}
+
+// MaxTimePercent is the largest valid ServerLoad.TimePercent.
+const MaxTimePercent = 10_000
 
 // Request is a request to a server. Its header and body are sent unchanged.
 type Request struct {
@@ -332,19 +341,26 @@
 	return longest
 }
 
-// parseLoad parses "running,waiting,slots". It returns false if text is malformed.
+// parseLoad parses "running,waiting,slots" or "running,waiting,slots,percent". It returns
+// false if text is malformed. An invalid percentage alone is ignored.
 func parseLoad(text string) (ServerLoad, bool) {
 	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
+	if len(parts) != 3 && len(parts) != 4 {
 		return ServerLoad{}, false
 	}
 	var values [3]int
-	for i, part := range parts {
+	for i, part := range parts[:3] {
 		v, err := strconv.Atoi(strings.TrimSpace(part))
 		if err != nil || v < 0 {
 			return ServerLoad{}, false
 		}
 		values[i] = v
 	}
-	return ServerLoad{values[0], values[1], values[2]}, true
+	load := ServerLoad{Running: values[0], Waiting: values[1], Slots: values[2]}
+	if len(parts) == 4 {
+		if percent, err := strconv.Atoi(strings.TrimSpace(parts[3])); err == nil && percent >= 1 && percent <= MaxTimePercent {
+			load.TimePercent = percent
+		}
+	}
+	return load, true
 }
--- a/internal/placing/client.go
+++ b/internal/placing/client.go
@@ -212,6 +212,6 @@
 func sendDone(fc *frameConn, id uint64, r dispatch.Result, limit *fleetpb.RateLimit) {
 	fc.enqueue(func(f *fleetpb.DispatchFrame) {
 		f.Done = append(f.Done, &fleetpb.DispatchDone{Id: id, Outcome: uint32(r.Outcome), HasLoad: r.HasLoad,
-			Running: uint32(r.Running), Waiting: uint32(r.Waiting), RateLimit: limit})
+			Running: uint32(r.Running), Waiting: uint32(r.Waiting), RateLimit: limit, TimePercent: uint32(r.TimePercent)})
 	})
 }
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
+	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
 )
 
@@ -142,7 +143,7 @@
 		}
 		if submitted, ok := h.removeRequest(done.Id); ok {
 			h.cancelOrRelease(submitted, dispatch.Result{Outcome: dispatch.Outcome(done.Outcome), HasLoad: done.HasLoad,
-				Running: int(done.Running), Waiting: int(done.Waiting)})
+				Running: int(done.Running), Waiting: int(done.Waiting), TimePercent: int(min(done.TimePercent, exchange.MaxTimePercent))})
 		}
 	}
 	for _, id := range frame.Canceled {
