--- a/internal/dispatch/warmup_test.go
+++ b/internal/dispatch/warmup_test.go
@@ -208,6 +208,11 @@
 	sched.SetServers(7*second, []Server{restarted})
 	assert.Equal(t, s.effectiveSpeed(8*second), warmupSpeedFactor)
 	assert.Assert(t, s.paceDelay(7*second, 0) > 0, "a new process starts with an empty bucket")
+	// Without its entry for a while, it comes back with an empty bucket.
+	sched.SetServers(7500*ms, nil)
+	sched.SetServers(7700*ms, []Server{restarted})
+	s = sched.servers["a"]
+	assert.Assert(t, s.paceDelay(7700*ms, 0) > 0)
 	onlyDecision(t, sched.Submit(8*second, newRequest(1, 8*second)))
 	sched.SetServers(8*second, []Server{coldServer("a", 0)})
 	assert.Equal(t, s.effectiveSpeed(8*second), 1.0)
@@ -216,7 +221,7 @@
 	for _, turn := range sched.takeTransitions() {
 		turns = append(turns, fmt.Sprintf("%s %t %g %d", turn.Server, turn.Cold, turn.Rate, turn.Sent))
 	}
-	assert.DeepEqual(t, turns, []string{"a true 3.75 0", "a true 3.75 0", "a false 3.75 1"})
+	assert.DeepEqual(t, turns, []string{"a true 3.75 0", "a true 3.75 0", "a true 3.75 0", "a false 3.75 1"})
 }
 
 // Guards against the higher of two limits, and against an announced limit that is lost
