Test the samples of cold servers, and take abandoned ones at the warm speed, too

Abandoned requests that took long gave samples at the cold speed.

'go test ./internal/dispatch' and 'go test ./platform -run Fuzz|Config' pass.

--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -18,7 +18,7 @@
 	case Abandoned:
 		// A request canceled after a long time still shows that the server is slow.
 		if elapsed := now.Sub(request.assignedAt); request.work > 0 && elapsed > 3*request.work {
-			s.recordSample(request.work, time.Duration(float64(elapsed)/s.momentary.factor(now)))
+			s.recordSample(request.work, s.warmTime(now, time.Duration(float64(elapsed)/s.momentary.factor(now))))
 		}
 		return
 	case Inconclusive:
--- a/internal/dispatch/warmup.go
+++ b/internal/dispatch/warmup.go
@@ -54,8 +54,6 @@
 }
 
 // isCold reports whether the server has a pace because it is cold.
-func (s *serverState) isCold() bool { return s.Server.isCold() }
-
 func (s *Server) isCold() bool { return s.Warmup > 0 && s.WarmupRate > 0 }
 
 // warmupPace returns the rate of requests to a cold server, in requests per second, and
--- a/internal/dispatch/warmup_test.go
+++ b/internal/dispatch/warmup_test.go
@@ -265,3 +265,19 @@
 	assert.Equal(t, rate, coldRate)
 	assert.Assert(t, burst+overlappingRates*rate+idleTokens <= coldMax)
 }
+
+// Guards against a speed that is halved twice, by the samples of a cold server and by its
+// warmup, and that stays low once the server is warm.
+func TestSamplesOfAColdServerKeepItsWarmSpeed(t *testing.T) {
+	sched := testScheduler(coldServer("a", time.Minute))
+	for id := range uint64(30) {
+		now := Instant(id+1) * second
+		r := newRequest(id, now)
+		r.Deadline = now.Add(5 * time.Second)
+		assert.Equal(t, onlyDecision(t, sched.Submit(now, r)).Server, "a")
+		sched.Complete(now.Add(2*r.Work), id, Result{Outcome: Succeeded})
+	}
+	s := sched.servers["a"]
+	assert.Assert(t, s.estimatedSpeed > 0.99 && s.estimatedSpeed < 1.01, "%g", s.estimatedSpeed)
+	assert.Equal(t, s.effectiveSpeed(31*second), s.estimatedSpeed*warmupSpeedFactor)
+}
