--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -86,9 +86,8 @@
 	Speed float64
 	// Warmup is how long the server stays slow from now on; it counts only when the
 	// Scheduler first sees the server.
-	Warmup time.Duration
-	// KeysOnly is true if the server gets no requests but those for its keys.
-	KeysOnly bool
+	Warmup   time.Duration
+	KeysOnly bool // gets no requests but those for its keys
 }
 
 // Outcome is how a request ended at a server.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -35,9 +35,6 @@
 	noConfigRetryAfter = 300 * time.Millisecond
 	// noPathRetryAfter is the Retry-After value while no host reaches the servers.
 	noPathRetryAfter = time.Second
-	// evacuatedRetryAfter is the Retry-After value while all servers of a service are in
-	// evacuated availability zones.
-	evacuatedRetryAfter = time.Second
 	// lateDrainPeriod is how long after the begin of a planned stop the load balancer
 	// has removed the host. Requests then come on kept connections only, and their
 	// callers reach another host at once.
@@ -206,11 +203,8 @@
 		q.heldOff = left
 		return h.skipServer(q, decision, ticket, errHeldOff)
 	}
-	if hasKey := q.position != dispatch.NoPosition; !h.ServerPools.isUsable(server, hasKey) {
-		if !hasKey {
-			// The dispatcher does not know of the evacuation yet.
-			q.placement.Exclude = append(q.placement.Exclude, h.ServerPools.evacuatedServers(q.service)...)
-		}
+	if !h.ServerPools.isUsable(server, q.hasKey()) {
+		h.excludeEvacuated(q)
 		return h.skipServer(q, decision, ticket, errServerWithdrawn)
 	}
 	q.upstream.Deadline, q.upstream.ExpectedInstance = q.deadline, server.ID
@@ -218,7 +212,7 @@
 		switch {
 		case q.caller.hasLeft():
 			return context.Canceled
-		case !h.ServerPools.isUsable(server, q.position != dispatch.NoPosition):
+		case !h.ServerPools.isUsable(server, q.hasKey()):
 			return errServerWithdrawn
 		default:
 			return nil
@@ -255,24 +249,6 @@
 	return result
 }
 
-// errServerWithdrawn reports that a server was found to leave, to be gone or to be
-// evacuated after it was chosen, for example while the connection to it was opened.
-var errServerWithdrawn = errors.New("the server is not to be used any more")
-
-// skipServer gives back a server that was chosen for the request, without sending.
-func (h *Handler) skipServer(q *request, decision dispatch.Decision, ticket placing.AcquiredSlot, reason error) exchange.Result {
-	h.Placer.Release(ticket, dispatch.Result{Outcome: dispatch.Abandoned})
-	q.attempts.unsent++
-	q.placement.Exclude = append(q.placement.Exclude, decision.Server)
-	return exchange.Result{Outcome: exchange.NotSent, Err: reason}
-}
-
-// evacuatedError returns the error of a request to a service all of whose servers are
-// in evacuated availability zones.
-func evacuatedError(q *request) *apierror.Error {
-	return &apierror.Error{Kind: kindIfNotExecuted(q.attempts, apierror.KindNoUpstream), Detail: "all servers of the service are evacuated", RetryAfter: evacuatedRetryAfter}
-}
-
 // observeRateLimit records what the result says about the server's rate limit.
 func (h *Handler) observeRateLimit(server ratelimit.Server, result exchange.Result, took time.Duration) {
 	if result.Sent {
--- a/internal/entry/serverpools.go
+++ b/internal/entry/serverpools.go
@@ -85,26 +85,6 @@
 	return p != nil && p.server == server && (!p.keysOnly || hasKey && !s.evacuated[server.Service] && s.clock() < p.keysUntil)
 }
 
-// isEvacuated reports whether all servers of the service are in evacuated zones.
-func (s *ServerPools) isEvacuated(service string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.evacuated[service]
-}
-
-// evacuatedServers returns the IDs of the service's servers that take no requests without
-// a key because their zones are evacuated.
-func (s *ServerPools) evacuatedServers(service string) (ids []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for id, p := range s.pools {
-		if p.keysOnly && p.server.Service == service {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // isReplaced reports whether another process of the server is listed.
 func (s *ServerPools) isReplaced(server ratelimit.Server) bool {
 	s.mu.Lock()
