Count only the servers of a choice in its estimates

Cause: servers that get requests for their keys only were left out of the sum of the speeds but not of the number that it is divided by, so that the mean speed was too low while a zone is evacuated; the share of servers that may be ejected was too high.

Change: both count the servers that the choice is among.

go test -race ./internal/dispatch passes.

--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -95,11 +95,12 @@
 // takeSnapshot collects the state of all servers for one pass over a queue.
 func (sched *Scheduler) takeSnapshot(now Instant) snapshot {
 	snap := snapshot{now: now}
-	ejected := 0
+	ejected, considered := 0, 0.0
 	for _, s := range sched.sortedServers {
 		if s.KeysOnly {
 			continue
 		}
+		considered++
 		speed := s.effectiveSpeed(now)
 		snap.meanSpeed += speed
 		if s.failureRate > ejectionFailureRate {
@@ -120,8 +121,8 @@
 			snap.free = append(snap.free, s)
 		}
 	}
-	snap.meanSpeed /= max(float64(len(sched.sortedServers)), 1)
-	snap.mayEject = float64(ejected) <= maxEjectedShare*float64(len(sched.sortedServers))
+	snap.meanSpeed /= max(considered, 1)
+	snap.mayEject = float64(ejected) <= maxEjectedShare*considered
 	return snap
 }
 
