--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -90,8 +90,7 @@
 	// is not 0 and WarmupRate is set, the server counts as cold. Without WarmupRate it
 	// matters only when the Scheduler first sees the server.
 	Warmup time.Duration
-	// KeysOnly is true if the server gets no requests but those for its keys.
-	KeysOnly bool
+	KeysOnly bool // gets no requests but those for its keys
 	// WarmupRate is how many requests per second of all hosts the server bears while
 	// it is cold; 0 if there is no limit. WarmupMax is how many it bears in any one
 	// second.
