Let no round of a large service wait for an unanswered release

Cause: a server that does not answer a release kept the next round waiting until its grants had expired, 3.5 s. Among 269 servers one such is common.

Ranges under way count as load of their next owner and do not move again. Smaller services wait as before.

--- a/internal/control/planning.go
+++ b/internal/control/planning.go
@@ -21,14 +21,15 @@
 )
 
 // planMoves releases the ranges that are planned to move now in next. It reports
-// whether there are any.
+// whether there are any. In a large service there is nearly always a release that a
+// server has not answered, so no round waits for it.
 func (m *assignmentManager) planMoves(next *shards.Assignment, candidates []shards.Candidate, load func() shards.Load, now boottime.Instant) bool {
 	if now < m.nextHotPlanAt {
 		return false
 	}
 	m.nextHotPlanAt = now.Add(hotPlanInterval)
 	moves := shards.PlanHotKeys(m.assignment, candidates, load)
-	if len(moves) == 0 && now >= m.nextPlanAt && m.isSettled() {
+	if len(moves) == 0 && now >= m.nextPlanAt && (shards.IsLarge(len(candidates)) || m.isSettled()) {
 		m.nextPlanAt = now.Add(planInterval)
 		if moves = shards.PlanCompaction(m.assignment, candidates, load); len(moves) == 0 {
 			moves = shards.PlanRebalance(m.assignment, candidates, load())
--- a/internal/shards/compaction.go
+++ b/internal/shards/compaction.go
@@ -28,7 +28,7 @@
 // ranges or has no more than maxSmallService servers.
 func PlanCompaction(a *Assignment, candidates []Candidate, load func() Load) []Move {
 	excess := len(a.Ranges) - compactRangesPerServer*len(candidates)
-	if len(candidates) <= maxSmallService || excess <= 0 {
+	if !IsLarge(len(candidates)) || excess <= 0 {
 		return nil
 	}
 	p := newPlanner(a, candidates, load())
--- a/internal/shards/hotkeys.go
+++ b/internal/shards/hotkeys.go
@@ -42,7 +42,7 @@
 // capacity, and the other positions of that server leave. There are none in services
 // that are small enough for PlanRebalance.
 func PlanHotKeys(a *Assignment, candidates []Candidate, load func() Load) []Move {
-	if len(candidates) <= maxSmallService {
+	if !IsLarge(len(candidates)) {
 		return nil
 	}
 	// A move out of the middle of a range adds two.
--- a/internal/shards/planner.go
+++ b/internal/shards/planner.go
@@ -137,7 +137,7 @@
 	var moves []Move
 	settled := make(map[string]bool) // busy servers that no move can relieve
 	limit := maxMovesPerRound
-	if len(candidates) > maxSmallService {
+	if IsLarge(len(candidates)) {
 		limit = min(limit, rangeBudget(a, len(candidates))/2)
 	}
 	for len(moves) < limit {
@@ -180,11 +180,15 @@
 	return load, capacity
 }
 
+// IsLarge reports whether a service with that many servers is balanced in rounds that
+// grow with it and do not wait for each other.
+func IsLarge(servers int) bool { return servers > maxSmallService }
+
 // noiseDeviations returns how many standard deviations the busiest of n servers may
 // exceed the threshold by chance. The largest of n normal variates is about
 // sqrt(2 ln n) deviations above their mean.
 func noiseDeviations(n int) float64 {
-	if n <= maxSmallService {
+	if !IsLarge(n) {
 		return 2
 	}
 	return math.Sqrt(2 * math.Log(float64(n)))
@@ -272,7 +276,7 @@
 	p.applyRateLimits()
 	p.total, p.capacity = p.totals()
 	p.widthCost = 1
-	if n := len(candidates); n > maxSmallService {
+	if n := len(candidates); IsLarge(n) {
 		p.widthCost = partWidthCost * float64(n)
 	}
 	return p
