Look for hot keys without allocating

Cause: the look-out for hot keys each 100 ms built two planners and two slices of rates, some 2 MB, also while no keys are hot.

Change: the loads of servers are summed directly, and the meter reuses the slices that it returns. They are used within the step that asked for them.

--- a/internal/control/meter.go
+++ b/internal/control/meter.go
@@ -30,10 +30,13 @@
 	counts, recentCounts   []float64
 	samples, recentSamples float64
 	decayedAt              boottime.Instant
+	// rates and recentRates are what load returned last.
+	rates, recentRates []float64
 }
 
 func newLoadMeter(now boottime.Instant) *loadMeter {
-	return &loadMeter{counts: make([]float64, shards.PositionCount), recentCounts: make([]float64, shards.PositionCount), decayedAt: now}
+	floats := func() []float64 { return make([]float64, shards.PositionCount) }
+	return &loadMeter{counts: floats(), recentCounts: floats(), rates: floats(), recentRates: floats(), decayedAt: now}
 }
 
 // add adds the counts that a host has reported.
@@ -49,26 +52,25 @@
 	}
 }
 
-// load decays the counts up to now and returns them as rates.
+// load decays the counts up to now and returns them as rates. The result is valid until
+// the next call: it is large, and hot keys are looked for often.
 func (m *loadMeter) load(now boottime.Instant) shards.Load {
 	elapsed := now.Sub(m.decayedAt).Seconds()
 	m.decayedAt = now
-	rates := decayCounts(m.counts, &m.samples, elapsed, loadWindow.Seconds())
-	recent := decayCounts(m.recentCounts, &m.recentSamples, elapsed, recentWindow.Seconds())
-	return shards.Load{Rates: rates, Samples: m.samples, RecentRates: recent, RecentSamples: m.recentSamples, RecentWindowRatio: recentWindow.Seconds() / loadWindow.Seconds()}
+	decayCounts(m.rates, m.counts, &m.samples, elapsed, loadWindow.Seconds())
+	decayCounts(m.recentRates, m.recentCounts, &m.recentSamples, elapsed, recentWindow.Seconds())
+	return shards.Load{Rates: m.rates, Samples: m.samples, RecentRates: m.recentRates, RecentSamples: m.recentSamples, RecentWindowRatio: recentWindow.Seconds() / loadWindow.Seconds()}
 }
 
-// decayCounts decays counts and their sum by the elapsed seconds and returns the counts
-// as rates in a window in seconds.
-func decayCounts(counts []float64, sum *float64, elapsed, window float64) []float64 {
+// decayCounts decays counts and their sum by the elapsed seconds and sets rates to the
+// counts as rates in a window in seconds.
+func decayCounts(rates, counts []float64, sum *float64, elapsed, window float64) {
 	decay := math.Exp(-elapsed / window)
 	*sum *= decay
-	rates := make([]float64, len(counts))
 	for i := range counts {
 		counts[i] *= decay
 		rates[i] = counts[i] / window
 	}
-	return rates
 }
 
 // speedMeter estimates the speed of servers relative to the mean of their
--- a/internal/shards/hotkeys.go
+++ b/internal/shards/hotkeys.go
@@ -65,36 +65,35 @@
 // hotRates returns the rates by which hot keys are spread, and the servers that have
 // them. The rates of a server whose load has just risen follow the recent ones.
 func hotRates(a *Assignment, candidates []Candidate, load Load) (rates []float64, hot map[string]bool) {
-	steady := newPlanner(a, candidates, Load{Rates: load.Rates})
-	recent := steady
-	if load.RecentRates != nil {
-		recent = newPlanner(a, candidates, Load{Rates: load.RecentRates})
+	steady, recent := sumLoads(a, candidates, load.Rates), sumLoads(a, candidates, load.RecentRates)
+	if load.RecentRates == nil {
+		recent = steady
 	}
 	hot, surges := make(map[string]bool), make(map[string]float64)
-	for i, s := range steady.candidates {
-		now := recent.candidates[i]
-		surging := recent.isHot(now, load.RecentSamples)
-		if s.MaxRate > 0 || !surging && !(steady.isHot(s, load.Samples) && recent.isHot(now, math.Inf(1))) {
+	for _, c := range candidates {
+		surging := recent.isHot(c, load.RecentSamples)
+		if c.MaxRate > 0 || !surging && !(steady.isHot(c, load.Samples) && recent.isHot(c, math.Inf(1))) {
 			continue
 		}
-		hot[s.ID] = true
+		hot[c.ID] = true
 		if surging {
-			surges[s.ID] = load.surge(now.load / s.load)
+			surges[c.ID] = load.surge(recent.byServer[c.ID] / steady.byServer[c.ID])
 		}
 	}
+	if len(hot) == 0 {
+		return nil, nil
+	}
+	sampleRate := steady.total / max(load.Samples, 1) // that one sample stands for
 	rates = slices.Clone(load.Rates)
 	for _, r := range a.Ranges {
 		if r.Held() && hot[r.Owner] {
 			surge := max(surges[r.Owner], 1)
-			smooth(rates[r.From:int(r.To)+1], load.Rates[r.From:int(r.To)+1], surge, steadySampleRate(steady.total, load.Samples))
+			smooth(rates[r.From:int(r.To)+1], load.Rates[r.From:int(r.To)+1], surge, sampleRate)
 		}
 	}
 	return rates, hot
 }
 
-// steadySampleRate returns the rate that one sample stands for.
-func steadySampleRate(total, samples float64) float64 { return total / max(samples, 1) }
-
 // smooth sets out to the rates of a range, multiplied by surge. Positions with few
 // samples get the mean of their neighbors: hot positions are adjacent, and a single
 // sample must not look like a position with a high rate.
@@ -125,15 +124,47 @@
 	return min(1/max(1-ratio*l.RecentWindowRatio, 1.0/maxSurge), maxSurge)
 }
 
+// loadSums holds the load of each candidate, and the load and capacity of all.
+type loadSums struct {
+	byServer        map[string]float64
+	total, capacity float64
+}
+
+// sumLoads adds the rates of the ranges that are, or are planned to be, of a candidate.
+func sumLoads(a *Assignment, candidates []Candidate, rates []float64) loadSums {
+	sums := loadSums{byServer: make(map[string]float64, len(candidates))}
+	for _, c := range candidates {
+		sums.byServer[c.ID] = 0
+		sums.capacity += c.Capacity
+	}
+	for _, r := range a.Ranges {
+		id := r.Owner
+		if r.ReleaseToken != 0 {
+			id = r.PlannedOwner
+		}
+		load, listed := sums.byServer[id]
+		if !listed || int(r.To) >= len(rates) {
+			continue
+		}
+		for _, rate := range rates[r.From : int(r.To)+1] {
+			load += rate
+			sums.total += rate
+		}
+		sums.byServer[id] = load
+	}
+	return sums
+}
+
 // isHot reports whether the server's load is above hotRatio times its part, by more
 // than chance if it was measured from the given samples of all servers.
-func (p *planner) isHot(s *candidateLoad, samples float64) bool {
-	bound := hotRatio * s.Capacity / p.capacity // as a share of the total load
+func (s *loadSums) isHot(c Candidate, samples float64) bool {
+	share := s.byServer[c.ID] / max(s.total, 1e-9)
+	bound := hotRatio * c.Capacity / s.capacity // as a share of the total load
 	if math.IsInf(samples, 1) {
-		return s.load/p.total > bound
+		return share > bound
 	}
 	expected := bound * samples
-	return s.load/p.total*samples > expected+hotDeviations*math.Sqrt(expected)+hotSampleMargin
+	return share*samples > expected+hotDeviations*math.Sqrt(expected)+hotSampleMargin
 }
 
 // hotSpread holds the moves of one round.
--- a/internal/shards/hotkeys_test.go
+++ b/internal/shards/hotkeys_test.go
@@ -121,6 +121,12 @@
 			PlanHotKeys(a, candidates, load)
 		}
 	})
+	calm := hotLoad(700, 0, 0, 0)
+	b.Run("calm", func(b *testing.B) {
+		for b.Loop() {
+			PlanHotKeys(a, candidates, calm)
+		}
+	})
 	b.Run("balance", func(b *testing.B) {
 		for b.Loop() {
 			PlanRebalance(a, candidates, load())
