--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -89,7 +89,7 @@
 	// Warmup is how long the server stays slow from now on, 0 if it is warm. While it
 	// is not 0 and WarmupRate is set, the server counts as cold. Without WarmupRate it
 	// matters only when the Scheduler first sees the server.
-	Warmup time.Duration
+	Warmup   time.Duration
 	KeysOnly bool // gets no requests but those for its keys
 	// WarmupRate is how many requests per second of all hosts the server bears while
 	// it is cold; 0 if there is no limit. WarmupMax is how many it bears in any one
