Add a byte budget with a reserve for small messages

Nothing bounds what a process holds on behalf of callers: each body and response is buffered on its own. membudget.Budget counts such bytes for the whole process.

Not used yet. go test -race ./internal/membudget passes.

--- /dev/null
+++ b/internal/membudget/budget_test.go
@@ -0,0 +1,93 @@
+package membudget
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against large messages that leave no room for small ones.
+func TestReserveIsKeptForSmallMessages(t *testing.T) {
+	b := New(100, 30)
+	assert.Assert(t, b.TryAcquire(70))
+	assert.Assert(t, !b.TryAcquire(1))
+	assert.Assert(t, b.TryAcquireSmall(30))
+	assert.Assert(t, !b.TryAcquireSmall(1))
+	b.Release(100)
+	assert.Equal(t, b.Usage().Used, int64(0))
+}
+
+// Guards against an exhausted budget in which a stalled body stays and an active one is
+// refused, and against active bodies that displace each other.
+func TestLongestStalledHolderGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(100<<10, 0)
+		var holders [3]Holder
+		var evicted []int
+		for i := range holders {
+			h := &holders[i]
+			h.Init(b, func() {
+				evicted = append(evicted, i)
+				go h.Release()
+			}, time.Now())
+			assert.NilError(t, h.Acquire(t.Context(), 30<<10))
+		}
+		var next Holder
+		next.Init(b, func() {}, time.Now())
+		assert.ErrorIs(t, next.Acquire(t.Context(), 30<<10), ErrExhausted)
+		time.Sleep(minStall)
+		holders[0].Progress(time.Now())
+		assert.NilError(t, next.Acquire(t.Context(), 30<<10))
+		assert.DeepEqual(t, evicted, []int{1})
+		assert.ErrorIs(t, holders[1].Acquire(t.Context(), 1), ErrEvicted)
+		holders[2].Settle()
+		time.Sleep(minStall)
+		assert.NilError(t, next.Acquire(t.Context(), 20<<10))
+		assert.DeepEqual(t, evicted, []int{1, 0}) // not the settled one
+		for _, h := range []*Holder{&holders[0], &holders[1], &holders[2], &next, &next} {
+			h.Release()
+		}
+		assert.Equal(t, b.Usage().Used, int64(0))
+	})
+}
+
+// Guards against bytes that are given back twice or never, whatever the order in which
+// holders grow, give way and end.
+func TestBytesAreGivenBackOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 0))
+		b := New(1<<20, 256<<10)
+		for range 200 {
+			seed := random.Uint64()
+			go func() {
+				own := rand.New(rand.NewPCG(seed, 0))
+				var h Holder
+				h.Init(b, func() {}, time.Now())
+				defer h.Release()
+				for range 20 {
+					time.Sleep(time.Duration(own.IntN(100)) * time.Millisecond)
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					err := h.Acquire(ctx, int64(own.IntN(20<<10)))
+					cancel()
+					if err != nil {
+						assert.Check(t, errors.Is(err, ErrEvicted) || errors.Is(err, ErrExhausted))
+						return
+					}
+					h.Progress(time.Now())
+				}
+			}()
+		}
+		for range 100 {
+			time.Sleep(20 * time.Millisecond)
+			u := b.Usage()
+			assert.Assert(t, u.Used >= 0 && u.Used <= u.Total, "%d of %d used", u.Used, u.Total)
+		}
+		time.Sleep(time.Minute)
+		assert.Equal(t, b.Usage().Used, int64(0))
+	})
+}
