--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -4,7 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+
+	"golang.org/x/sys/unix"
 )
 
 // Network opens TCP listeners and connections.
@@ -27,3 +30,23 @@
 	var dialer net.Dialer
 	return dialer.DialContext(ctx, network, address)
 }
+
+// SetListenerBuffers bounds the kernel's buffers of the connections that a listener accepts,
+// in bytes. The kernel reserves twice as much for its own structures. A listener that is not
+// of the operating system is left alone.
+func SetListenerBuffers(l net.Listener, receive, send int) error {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = errors.Join(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receive),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, send))
+	})
+	return errors.Join(err, setErr)
+}
