Take buffered responses out of a budget

A pool can now have a budget: each buffer is taken before it is read, and the result says how many bytes its receiver has to give back. If the budget has no room, the rest of the response is streamed like that of a large one; a refusal is recognized by its head, and its body is dropped. A request body is no longer copied before it is sent.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -97,6 +97,8 @@
 	Status  int
 	Header  http.Header
 	Body    []byte
+	// HeldBytes are taken from the pool's budget for Body. The receiver must give them back.
+	HeldBytes int64
 	// RemainingBody is the unread part of a large response, or nil. The receiver must
 	// close it.
 	RemainingBody io.ReadCloser
@@ -296,18 +298,22 @@
 		p.parseRateLimit(&result)
 		return result
 	}
-	body, err := io.ReadAll(io.LimitReader(rest, p.maxBufferedBytes+1))
+	body, held, complete, err := p.readBuffered(rest, response.ContentLength)
 	if err != nil {
 		return Result{Outcome: Broken, Err: fmt.Errorf("%w: %w", errShortBody, err)}
 	}
-	result.Body = body
-	if int64(len(body)) > p.maxBufferedBytes {
+	result.Body, result.HeldBytes = body, held
+	misdirected := response.StatusCode == http.StatusMisdirectedRequest
+	refused := misdirected || response.Header.Get(p.headers.NotExecuted) != ""
+	if !complete && !(refused && int64(len(body)) <= p.maxBufferedBytes) {
 		result.RemainingBody = &streamedBody{body: rest, conn: c}
 		p.parseRateLimit(&result)
 		return result
 	}
-	result.Misdirected = response.StatusCode == http.StatusMisdirectedRequest
-	if result.Misdirected || response.Header.Get(p.headers.NotExecuted) != "" {
+	// The body of a refusal is not delivered; without memory for it, it is not read.
+	c.reusable = c.reusable && complete
+	result.Misdirected = misdirected
+	if refused {
 		result.Outcome = Refused
 		c.recordRefusal(r.ID)
 	}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -83,6 +83,7 @@
 	maxBufferedBytes   int64
 	background         *conc.WaitGroup
 	onConnectionOpened func() // called for each new connection
+	budget             Budget // nil: none
 
 	mu     sync.Mutex
 	idle   []*conn // most recently used last
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -36,7 +37,7 @@
 // part of it can't be read, the connection is closed: the server would wait for the
 // rest, and a response could only be to an incomplete request.
 func writeBody(c *conn, r *Request) error {
-	var body io.Reader = strings.NewReader(string(r.Body))
+	var body io.Reader = bytes.NewReader(r.Body)
 	if r.RemainingBody != nil {
 		body = io.MultiReader(body, &callerBody{r.RemainingBody, c})
 	}
