Bound the memory and the connections of callers

Request bodies were buffered with io.ReadAll, without a bound on their number, their sum or the time that they take, and connections were not counted. Many bodies that stop right before their end made a process exceed its memory.

Bodies are now read in steps whose bytes are taken from the budget of the process (callers.memory, a quarter of limits.memoryMB) and given back when the request ends. If it is exhausted, the body that has waited for longest is refused with 503, since nothing of it has reached a server, or its connection is closed. A body must bring 512 bytes in 5 s of waiting for it. max_body_bytes holds for bodies in chunks too. The number of connections follows from limits.maxDescriptors, which the platform now passes, and from the memory; the kernel's buffers of each are bounded. A head may have 64 KiB instead of 1 MiB. Settings, a counter, gauges and one log line a second tell of the limits.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -15,6 +15,7 @@
 	"github.com/cassiasill/cassiasill/internal/detour"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/membudget"
 	"github.com/cassiasill/cassiasill/internal/placing"
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/routes"
@@ -55,7 +56,12 @@
 	RetryBudget      *RetryBudget
 	RateLimits       *ratelimit.Table
 	// Reach judges whether this host is cut off from the servers.
-	Reach   *detour.Tracker
+	Reach *detour.Tracker
+	// Budget holds the bytes of bodies and responses; nil is one without a limit.
+	Budget       *membudget.Budget
+	CallerLimits CallerLimits
+	// Limits counts and logs the limits that were reached.
+	Limits  *LimitEvents
 	Metrics *Metrics
 	Log     *zap.Logger
 }
@@ -112,6 +118,7 @@
 	c := newCaller(r.Context(), started)
 	defer c.cancel()
 	q, failure := h.newRequest(r, snapshot, route, c)
+	defer h.release(q)
 	if failure != nil {
 		h.writeError(w, q, r, failure)
 		return
@@ -210,6 +217,7 @@
 	}
 	sentAt := time.Now()
 	result := pool.Do(ctx, &q.upstream)
+	q.heldBytes += result.HeldBytes
 	if errors.Is(result.Err, errServerWithdrawn) {
 		return h.skipServer(q, decision, ticket, errServerWithdrawn)
 	}
--- /dev/null
+++ b/internal/entry/limits.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.uber.org/zap"
+)
+
+// limitName names a limit on callers in logs and metrics.
+type limitName string
+
+// The limits on callers.
+const (
+	limitMemory           limitName = "memory"
+	limitBodyProgress     limitName = "body-progress"
+	limitResponseProgress limitName = "response-progress"
+	limitConnections      limitName = "connections"
+)
+
+// limitLogInterval is the least time between two log lines about a limit.
+const limitLogInterval = time.Second
+
+// LimitEvents counts how often limits on callers are reached, and logs it. Its methods may
+// be called on nil.
+type LimitEvents struct {
+	counter metric.Int64Counter
+	log     *zap.Logger
+
+	mu     sync.Mutex
+	limits map[limitName]*limitState
+}
+
+// limitState is what is known of one limit.
+type limitState struct {
+	loggedAt time.Time
+	unlogged int
+}
+
+// NewLimitEvents creates the counter.
+func NewLimitEvents(meter metric.Meter, log *zap.Logger) (*LimitEvents, error) {
+	counter, err := meter.Int64Counter("entry.limits_reached", metric.WithDescription("Requests and connections that a limit on callers ended, by limit."))
+	return &LimitEvents{counter: counter, log: log.Named("entry"), limits: make(map[limitName]*limitState)}, err
+}
+
+// reached counts that a limit was reached. Setting is the path of the setting that changes
+// it.
+func (e *LimitEvents) reached(name limitName, setting string) {
+	if e == nil {
+		return
+	}
+	e.counter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("limit", string(name))))
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state := e.limits[name]
+	if state == nil {
+		state = &limitState{}
+		e.limits[name] = state
+	}
+	state.unlogged++
+	if now.Sub(state.loggedAt) < limitLogInterval {
+		return
+	}
+	e.log.Warn("entry: limit on callers reached", zap.String("limit", string(name)), zap.String("setting", setting), zap.Int("times", state.unlogged))
+	state.loggedAt, state.unlogged = now, 0
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -34,6 +33,13 @@
 	// without a length ends with the connection.
 	lacksChunks bool
 	stage       stage
+	// body is nil if the request has none.
+	body *requestBody
+	// heldBytes are the bytes of the responses to the request that are taken from the
+	// budget.
+	heldBytes int64
+	// closesConn is true if an error response must close the caller's connection.
+	closesConn bool
 	// heldOff is when the first server that wants no request yet will take one.
 	heldOff time.Duration
 }
@@ -83,14 +89,15 @@
 		q.position = int(position)
 		h.Reports.CountKey(q.service, uint16(position))
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBodyBytes))
+	body, complete, err := h.readBody(q, r, snapshot.Config.Limits.MaxBodyBytes)
 	if err != nil {
-		return q, apierror.Wrap(apierror.KindCanceled, err, "the body could not be read")
+		q.closesConn = true
+		return q, h.bodyError(err)
 	}
 	q.upstream = exchange.Request{ID: q.id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: upstreamRequestHeaders(r.Header, &h.HeaderNames),
 		Body: body, ContentLength: r.ContentLength, FreshConnOnly: !route.Kind.Repeatable()}
-	if len(body) == maxBufferedBodyBytes {
-		q.upstream.RemainingBody = r.Body
+	if !complete {
+		q.upstream.RemainingBody = q.body
 	} else {
 		q.upstream.ContentLength = int64(len(body))
 	}
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -144,6 +144,9 @@
 	if response.RetryAfter > 0 && response.Status == http.StatusServiceUnavailable {
 		header.Set("Retry-After", strconv.FormatFloat(response.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	if q.closesConn {
+		header.Set("Connection", "close")
+	}
 	body := []byte(string(failure.Kind) + "\n")
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -5,11 +5,11 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/cassiasill/cassiasill/internal/connlimit"
 	"github.com/cassiasill/cassiasill/internal/network"
 )
 
@@ -27,8 +27,9 @@
 	// load balancer probes readiness each second and removes a host after two
 	// failed probes.
 	drainAcceptPeriod = 3200 * time.Millisecond
-	// maxHeaderBytes is more than any configuration allows.
-	maxHeaderBytes = 1 << 20
+	// maxHeaderBytes bounds the heads of requests until the configuration's limit is
+	// applied; net/http allows 4 KiB more. Each connection may hold a head of this size.
+	maxHeaderBytes = 64 << 10
 )
 
 // Server accepts callers' connections.
@@ -36,33 +37,25 @@
 	handler *Handler
 	http    *http.Server
 	log     *zap.Logger
-
-	mu        sync.Mutex
-	idleSince map[net.Conn]time.Time
+	conns   *connlimit.Limiter
 }
 
-// NewServer returns a Server that is not yet listening.
-func NewServer(handler *Handler) *Server {
-	s := &Server{handler: handler, log: handler.Log, idleSince: make(map[net.Conn]time.Time)}
+// NewServer returns a Server that is not yet listening. At most maxConns connections are open
+// at a time; 0 sets no bound.
+func NewServer(handler *Handler, maxConns int) *Server {
+	s := &Server{handler: handler, log: handler.Log}
+	s.conns = connlimit.New(maxConns, func(bool) { handler.Limits.reached(limitConnections, "callers.maxConnections") })
 	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.trackIdle, ConnContext: network.ContextWithConn, ErrorLog: zap.NewStdLog(handler.Log)}
+		ConnState: s.conns.ConnState, ConnContext: network.ContextWithConn, ErrorLog: zap.NewStdLog(handler.Log)}
 	return s
 }
 
-// trackIdle records since when each connection is idle.
-func (s *Server) trackIdle(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateIdle {
-		s.idleSince[c] = time.Now()
-		return
-	}
-	delete(s.idleSince, c)
-}
+// ConnCount returns the number of open connections.
+func (s *Server) ConnCount() int { return s.conns.Count() }
 
 // Serve accepts connections until Shutdown is called.
 func (s *Server) Serve(listener net.Listener) error {
-	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.conns.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -75,20 +68,7 @@
 	if config := s.handler.View.Load().Config; config != nil && config.Limits.IdleTimeout > 0 {
 		limit = time.Duration(float64(config.Limits.IdleTimeout) * idleTimeoutFactor)
 	}
-	s.mu.Lock()
-	var expired []net.Conn
-	for c, since := range s.idleSince {
-		if now.Sub(since) > limit {
-			expired = append(expired, c)
-			delete(s.idleSince, c)
-		}
-	}
-	s.mu.Unlock()
-	for _, c := range expired {
-		if err := c.Close(); err != nil {
-			s.log.Debug("entry: idle connection not closed", zap.Error(err))
-		}
-	}
+	s.conns.CloseIdle(limit, now)
 }
 
 // Shutdown drains the server: it keeps accepting connections for drainAcceptPeriod,
--- a/internal/entry/serverpools.go
+++ b/internal/entry/serverpools.go
@@ -37,6 +37,7 @@
 	// to this host.
 	local, central     *dispatch.Dispatcher
 	onConnectionOpened func()
+	budget             exchange.Budget
 	background         conc.WaitGroup
 
 	mu           sync.Mutex
@@ -57,6 +58,10 @@
 	return &ServerPools{headerNames: headerNames, dial: dial, local: local, central: central, onConnectionOpened: onConnectionOpened, pools: make(map[string]*serverPool)}
 }
 
+// SetBudget sets the budget of which pools take the bytes of buffered responses. It must be
+// called before the first Update.
+func (s *ServerPools) SetBudget(budget exchange.Budget) { s.budget = budget }
+
 // Pool returns the connection pool of a server and the incarnation that it connects
 // to.
 func (s *ServerPools) Pool(id string) (pool *exchange.Pool, server ratelimit.Server, ok bool) {
@@ -169,8 +174,9 @@
 		if server.Draining || s.pools[id] != nil {
 			continue
 		}
-		s.pools[id] = &serverPool{address: server.Address, server: ratelimit.Server{ID: id, Service: server.Service, Incarnation: server.Incarnation},
-			pool: exchange.NewPool(server.Address, s.headerNames, s.dial, &s.background, s.onConnectionOpened)}
+		pool := exchange.NewPool(server.Address, s.headerNames, s.dial, &s.background, s.onConnectionOpened)
+		pool.SetBudget(s.budget)
+		s.pools[id] = &serverPool{address: server.Address, server: ratelimit.Server{ID: id, Service: server.Service, Incarnation: server.Incarnation}, pool: pool}
 	}
 }
 
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -58,6 +58,10 @@
 	RetryWindow time.Duration
 	// GracePeriod is the time within which the process must stop.
 	GracePeriod time.Duration
+	// Callers bound what callers hold.
+	Callers CallerOptions
+	// MaxPeerConns bounds the connections of other hosts; 0 sets no bound.
+	MaxPeerConns int
 	// Listen and Dial are the host's network; the zero Listen is that of the operating
 	// system.
 	Listen ListenFunc
@@ -96,7 +100,7 @@
 	}
 	dispatching := newDispatchService(options, limits)
 	budget := entry.NewRetryBudget(options.RetryShare, options.RetryBurst, options.RetryWindow)
-	entries := &entryService{options: options, metrics: options.Metrics.entry, budget: budget, limits: limits}
+	entries := &entryService{options: options, metrics: options.Metrics.entry, budget: budget, limits: limits, memory: options.Callers.newBudget()}
 	admin := &adminService{options: options, metrics: options.Metrics.Metrics}
 	stopTimeout := max(options.GracePeriod-stopMargin, time.Second)
 	return &Host{kernel: kernel.New(options.Log, stopTimeout, controls, dispatching, admin, entries), budget: budget}, nil
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -17,6 +17,7 @@
 	"github.com/cassiasill/cassiasill/internal/entry"
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/membudget"
 	"github.com/cassiasill/cassiasill/internal/placing"
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/registry"
@@ -130,6 +131,7 @@
 	options  Options
 	metrics  *entry.Metrics
 	budget   *entry.RetryBudget
+	memory   *membudget.Budget
 	limits   *ratelimit.Table
 	node     *control.Node
 	servers  *registry.List // the list last passed to limits
@@ -158,6 +160,9 @@
 	s.node = controls.Node()
 	s.dialer = detour.NewDialer(s.options.Reach, s.options.Dial, s.node.DetourPeers, s.options.Metrics.countUsedDetour)
 	pools := entry.NewServerPools(&s.options.HeaderNames, s.dialer.Dial, local, central, s.metrics.CountConnection)
+	if s.memory != nil {
+		pools.SetBudget(s.memory)
+	}
 	s.options.Reach.OnChange(func(cut bool, failed int) {
 		s.logCut(cut, failed)
 		pools.CloseIdleConns()
@@ -171,14 +176,25 @@
 		pools.Update(snapshot)
 		placer.SetDispatchers(snapshot.Dispatchers)
 	})
+	limitEvents, err := entry.NewLimitEvents(s.options.Metrics.Meter("entry"), s.options.Log)
+	if err != nil {
+		return err
+	}
 	handler := entry.NewHandler(entry.Options{AvailabilityZone: s.options.AvailabilityZone, HeaderNames: s.options.HeaderNames,
 		View: s.node.View(), Reports: s.node.Reports, Placer: placer, ServerPools: pools,
-		RetryBudget: s.budget, RateLimits: s.limits, Reach: s.options.Reach, Metrics: s.metrics, Log: s.options.Log})
-	s.server = entry.NewServer(handler)
+		RetryBudget: s.budget, RateLimits: s.limits, Reach: s.options.Reach, Metrics: s.metrics, Log: s.options.Log,
+		Budget: s.memory, CallerLimits: s.options.Callers.Limits, Limits: limitEvents})
+	s.server = entry.NewServer(handler, s.options.Callers.MaxConns)
+	if err := registerCallerGauges(s.options.Metrics.Meter("entry"), s.memory, s.server.ConnCount); err != nil {
+		return err
+	}
 	listener, err := s.options.Listen(ctx, s.options.CallersAddress)
 	if err != nil {
 		return err
 	}
+	if err := s.options.Callers.setBuffers(listener); err != nil {
+		return err
+	}
 	registry.Go(nameEntry, func(context.Context) error { return s.server.Serve(listener) })
 	registry.Every(nameEntry+" sweep", time.Second, func() {
 		now := time.Now()
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -40,7 +40,7 @@
 	evicted int64
 	refused int64
 	freed   chan struct{} // closed at the next release; nil if nobody waits
-	// Holders that can give way, in the order of their last progress.
+	// Holders that wait for a transfer, the one that waits for longest first.
 	first, last *Holder
 }
 
@@ -120,16 +120,12 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.evictLocked(nil, least, now)
+	return b.evictLocked(least, now)
 }
 
-// evictLocked evicts the first holder other than except.
-func (b *Budget) evictLocked(except *Holder, least time.Duration, now time.Time) bool {
+func (b *Budget) evictLocked(least time.Duration, now time.Time) bool {
 	h := b.first
-	if h != nil && h == except {
-		h = h.next
-	}
-	if h == nil || now.Sub(h.progressAt) < least {
+	if h == nil || now.Sub(h.waitsSince) < least {
 		return false
 	}
 	b.unlink(h)
@@ -156,7 +152,7 @@
 		now := time.Now()
 		// One holder gives way at a time: its bytes may be enough.
 		if !h.waits {
-			h.waits = b.evictLocked(h, minStall, now)
+			h.waits = b.evictLocked(minStall, now)
 		}
 		if !h.waits || !now.Before(deadline) {
 			h.waits = false
@@ -204,6 +200,7 @@
 }
 
 func (b *Budget) link(h *Holder) {
+	b.unlink(h)
 	if h.prev = b.last; h.prev != nil {
 		h.prev.next = h
 	} else {
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -34,21 +34,23 @@
 			h.Init(b, func() {
 				evicted = append(evicted, i)
 				go h.Release()
-			}, time.Now())
+			})
 			assert.NilError(t, h.Acquire(t.Context(), 30<<10))
+			assert.NilError(t, h.Begin(time.Now()))
 		}
 		var next Holder
-		next.Init(b, func() {}, time.Now())
+		next.Init(b, func() {})
 		assert.ErrorIs(t, next.Acquire(t.Context(), 30<<10), ErrExhausted)
 		time.Sleep(minStall)
-		holders[0].Progress(time.Now())
+		assert.Assert(t, !holders[0].End())
+		assert.NilError(t, holders[0].Begin(time.Now()))
 		assert.NilError(t, next.Acquire(t.Context(), 30<<10))
 		assert.DeepEqual(t, evicted, []int{1})
-		assert.ErrorIs(t, holders[1].Acquire(t.Context(), 1), ErrEvicted)
-		holders[2].Settle()
+		assert.ErrorIs(t, holders[1].Begin(time.Now()), ErrEvicted)
+		holders[2].End()
 		time.Sleep(minStall)
 		assert.NilError(t, next.Acquire(t.Context(), 20<<10))
-		assert.DeepEqual(t, evicted, []int{1, 0}) // not the settled one
+		assert.DeepEqual(t, evicted, []int{1, 0}) // not the one without a transfer
 		for _, h := range []*Holder{&holders[0], &holders[1], &holders[2], &next, &next} {
 			h.Release()
 		}
@@ -67,10 +69,12 @@
 			go func() {
 				own := rand.New(rand.NewPCG(seed, 0))
 				var h Holder
-				h.Init(b, func() {}, time.Now())
+				h.Init(b, func() {})
 				defer h.Release()
 				for range 20 {
+					_ = h.Begin(time.Now()) // fails after the holder gave way, as Acquire does
 					time.Sleep(time.Duration(own.IntN(100)) * time.Millisecond)
+					h.End()
 					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 					err := h.Acquire(ctx, int64(own.IntN(20<<10)))
 					cancel()
@@ -78,7 +82,6 @@
 						assert.Check(t, errors.Is(err, ErrEvicted) || errors.Is(err, ErrExhausted))
 						return
 					}
-					h.Progress(time.Now())
 				}
 			}()
 		}
--- a/internal/membudget/holder.go
+++ b/internal/membudget/holder.go
@@ -14,25 +14,17 @@
 	// Guarded by the budget's mutex, except for waits, which the one goroutine that
 	// acquires uses.
 	held       int64
-	progressAt time.Time
+	waitsSince time.Time
 	gaveWay    bool
 	linked     bool
 	prev, next *Holder
 	waits      bool
 }
 
-// Init registers the holder with a budget, which may be nil. Evict is called at most once,
-// with the budget locked, if the holder has to give way; it must not block nor call the
-// budget. Release must be called at the end.
-func (h *Holder) Init(b *Budget, evict func(), now time.Time) {
-	h.budget, h.evict, h.progressAt = b, evict, now
-	if b == nil {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.link(h)
-}
+// Init sets the budget, which may be nil. Evict is called at most once, with the budget
+// locked, if the holder has to give way; it must not block nor call the budget. Release must
+// be called at the end.
+func (h *Holder) Init(b *Budget, evict func()) { h.budget, h.evict = b, evict }
 
 // Acquire takes n bytes. If the budget is exhausted, another holder gives way. Acquire fails
 // with ErrExhausted if none can, and with ErrEvicted if this one had to give way.
@@ -43,29 +35,34 @@
 	return h.budget.acquire(ctx, h, n)
 }
 
-// Progress records that bytes were transferred.
-func (h *Holder) Progress(now time.Time) {
+// Begin states that the transfer of the next bytes begins; until End the holder may have to
+// give way. It fails with ErrEvicted if it had to before.
+func (h *Holder) Begin(now time.Time) error {
 	b := h.budget
 	if b == nil {
-		return
+		return nil
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h.progressAt = now
-	if h.linked {
-		b.unlink(h)
-		b.link(h)
+	if h.gaveWay {
+		return ErrEvicted
 	}
+	h.waitsSince = now
+	b.link(h)
+	return nil
 }
 
-// Settle ends the transfer: the holder keeps its bytes and need not give way any more.
-func (h *Holder) Settle() {
-	if h.budget == nil {
-		return
+// End states that bytes were transferred, or that the transfer failed. It reports whether
+// the holder had to give way.
+func (h *Holder) End() (gaveWay bool) {
+	b := h.budget
+	if b == nil {
+		return false
 	}
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	h.budget.unlink(h)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unlink(h)
+	return h.gaveWay
 }
 
 // Shrink gives back n bytes of those held.
@@ -79,16 +76,6 @@
 	h.budget.releaseLocked(n)
 }
 
-// GaveWay reports whether the holder had to give way.
-func (h *Holder) GaveWay() bool {
-	if h.budget == nil {
-		return false
-	}
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	return h.gaveWay
-}
-
 // Release gives back all bytes held. It may be called again.
 func (h *Holder) Release() {
 	if h.budget == nil {
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -21,6 +21,8 @@
 	Store PlatformStore `yaml:"store"`
 	// Limits bound the process.
 	Limits PlatformLimits `yaml:"limits"`
+	// Callers bound what callers hold.
+	Callers PlatformCallers `yaml:"callers"`
 	// Bounds are the figures agreed with the platform, as it writes them.
 	Bounds string `yaml:"bounds"`
 	// Log sets what is logged.
@@ -64,6 +66,8 @@
 type PlatformLimits struct {
 	// MemoryMB is what the process may use, in MB. Default: 256.
 	MemoryMB int `yaml:"memoryMB"`
+	// MaxDescriptors is how many descriptors the process may open. Default: 4096.
+	MaxDescriptors int `yaml:"maxDescriptors"`
 	// CPUQuota is the part of a core that the process gets. Default: 1.
 	CPUQuota float64 `yaml:"cpuQuota"`
 	// CoreSpeed is how fast a core is, relative to the others. Default: 1.
@@ -87,12 +91,15 @@
 func ParsePlatform(file string, data []byte) (*Platform, error) {
 	p := &Platform{
 		Store:  PlatformStore{Timeout: Duration(time.Second)},
-		Limits: PlatformLimits{MemoryMB: 256, CPUQuota: 1, CoreSpeed: 1},
-		Log:    Log{Level: "info", Format: "json"},
+		Limits: PlatformLimits{MemoryMB: 256, MaxDescriptors: 4096, CPUQuota: 1, CoreSpeed: 1},
+		Callers: PlatformCallers{ReceiveBuffer: 32 << 10, SendBuffer: 32 << 10, MinProgress: 512,
+			BodyPeriod: Duration(5 * time.Second), ResponsePeriod: Duration(time.Minute)},
+		Log: Log{Level: "info", Format: "json"},
 	}
 	if err := parse(file, data, p, p.validate); err != nil {
 		return nil, err
 	}
+	p.Callers.complete(p.Limits)
 	return p, nil
 }
 
@@ -111,6 +118,8 @@
 	between(d, "listen.metricsPort", p.Listen.MetricsPort, 0, 65535)
 	between(d, "store.timeout", p.Store.Timeout, Duration(time.Millisecond), Duration(time.Minute))
 	between(d, "limits.memoryMB", p.Limits.MemoryMB, 16, 1<<20)
+	between(d, "limits.maxDescriptors", p.Limits.MaxDescriptors, 256, 1<<20)
+	p.Callers.validate(d, p.Limits)
 	between(d, "limits.cpuQuota", p.Limits.CPUQuota, 0.001, 1024)
 	between(d, "limits.coreSpeed", p.Limits.CoreSpeed, 0.001, 1024)
 }
--- a/internal/settings/platform_test.go
+++ b/internal/settings/platform_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -44,6 +45,10 @@
 		{`firstPeerPort: 7200`, `firstPeerPort: many`, "expected a whole number"},
 		{`memoryMB: 284`, `memoryMb: 284`, "limits.memoryMb: unknown field, did you mean \"memoryMB\"?"},
 		{`memoryMB: 284`, `memoryMB: 2`, "limits.memoryMB"},
+		{`memoryMB: 284`, "memoryMB: 284\n  maxDescriptors: 200", "limits.maxDescriptors"},
+		{"bounds:", "callers: {memory: 280MiB}\nbounds:", "callers.memory: found 280MiB"},
+		{"bounds:", "callers: {maxConnections: 3000}\nbounds:", "callers: memory and maxConnections need"},
+		{"bounds:", "callers: {bodyPeriod: 5}\nbounds:", "callers.bodyPeriod"},
 		{"store:\n  address: \"10.200.1.7:8384\"\n", "", "store.address"},
 		{`seeds: [`, `seeds: [[`, "node.yaml:"},
 	} {
@@ -53,3 +58,14 @@
 		assert.ErrorContains(t, err, c.want)
 	}
 }
+
+// Guards against defaults whose sum exceeds what a host has, on hosts of any size.
+func TestCallerDefaultsFollowFromLimits(t *testing.T) {
+	for _, c := range []struct{ memoryMB, descriptors, connections int }{{16, 256, 28}, {184, 4100, 385}, {536, 10478, 1122}, {4096, 4100, 1950}} {
+		text := strings.Replace(platformFile, "memoryMB: 284", fmt.Sprintf("memoryMB: %d\n  maxDescriptors: %d", c.memoryMB, c.descriptors), 1)
+		p, err := ParsePlatform("node.yaml", []byte(text))
+		assert.NilError(t, err)
+		assert.Equal(t, p.Callers.MaxConnections, c.connections)
+		assert.Equal(t, int(p.Callers.Memory), c.memoryMB<<20/4)
+	}
+}
