--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -64,12 +64,12 @@
 	if maxBytes <= 0 {
 		b.allowed = -1
 	}
-	b.Init(budget, b.interrupt)
+	b.Init(budget, b)
 	return b
 }
 
-// interrupt ends the current read.
-func (b *requestBody) interrupt() { b.setDeadline(time.Unix(1, 0)) }
+// Interrupt ends the current read.
+func (b *requestBody) Interrupt() { b.setDeadline(time.Unix(1, 0)) }
 
 func (b *requestBody) setDeadline(deadline time.Time) {
 	if b.conn != nil {
@@ -168,6 +168,9 @@
 			return buffer, true, nil
 		case err != nil:
 			return nil, false, err
+		case int64(len(buffer)) == length:
+			b.finish()
+			return buffer, true, nil
 		case len(buffer) == maxBufferedBodyBytes:
 			return buffer, false, nil
 		case len(buffer) == cap(buffer):
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -28,6 +28,8 @@
 
 	mu    sync.Mutex
 	timer *time.Timer // nil unless checks are scheduled
+	// response is watched while it is written.
+	response responseProgress
 }
 
 // newCaller returns the caller of the request with the given context. Its cancel
@@ -87,6 +89,7 @@
 	left := c.hasLeft()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.checkResponse(time.Now())
 	if !left && c.timer != nil {
 		c.timer.Reset(callerCheckInterval)
 	}
--- a/internal/entry/departure.go
+++ b/internal/entry/departure.go
@@ -26,6 +26,14 @@
 // occupiesServer reports whether a server may be working on a request in the stage.
 func (s stage) occupiesServer() bool { return s == stageSent || s == stageResponding }
 
+// waitingStage returns the stage of a request that waits for a server of the service.
+func (h *Handler) waitingStage(service string) stage {
+	if h.Placer.DispatchesRemotely(service) {
+		return stageWaitingRemote
+	}
+	return stageWaiting
+}
+
 // endDeparted ends a request whose caller has left: it logs and counts where the
 // request was, and closes the caller's connection.
 func (h *Handler) endDeparted(q *request) {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -186,14 +186,6 @@
 	}
 }
 
-// waitingStage returns the stage of a request that waits for a server of the service.
-func (h *Handler) waitingStage(service string) stage {
-	if h.Placer.DispatchesRemotely(service) {
-		return stageWaitingRemote
-	}
-	return stageWaiting
-}
-
 // attempt sends the request to one server.
 func (h *Handler) attempt(ctx context.Context, q *request, decision dispatch.Decision, ticket placing.AcquiredSlot) exchange.Result {
 	pool, server, ok := h.ServerPools.Pool(decision.Server)
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -32,6 +32,8 @@
 	}
 	w.WriteHeader(result.Status)
 	q.stage = stageResponding
+	q.caller.watchResponse(h.CallerLimits, h.Limits)
+	defer q.caller.endResponse(h.CallerLimits)
 	var err error
 	if length < 0 && q.lacksChunks {
 		err = h.copyUnframedBody(w, q.caller, result)
--- a/internal/exchange/buffered.go
+++ b/internal/exchange/buffered.go
@@ -48,6 +48,14 @@
 	}
 }
 
+// charged returns what a buffer takes of the budget.
+func (p *Pool) charged(n int64) int64 {
+	if p.budget == nil {
+		return 0
+	}
+	return n
+}
+
 // readBuffered reads a response of the announced length, negative if unknown, up to the
 // pool's limit. It stops earlier if the budget is exhausted: the rest is then streamed like
 // that of a large response. Held is what the returned body takes of the budget; it is 0 if
@@ -66,7 +74,7 @@
 		buffer = buffer[:len(buffer)+n]
 		switch {
 		case errors.Is(err, io.EOF):
-			return buffer, held, true, nil
+			return buffer, p.charged(held), true, nil
 		case err != nil:
 			p.giveBack(held)
 			return nil, 0, false, err
@@ -78,7 +86,7 @@
 			size = min(size, length+1)
 		}
 		if size <= held || !p.take(size) {
-			return buffer, held, false, nil
+			return buffer, p.charged(held), false, nil
 		}
 		buffer = append(make([]byte, 0, size), buffer...)
 		p.giveBack(held)
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -39,6 +39,7 @@
 	used    int64
 	evicted int64
 	refused int64
+	surplus int64
 	freed   chan struct{} // closed at the next release; nil if nobody waits
 	// Holders that wait for a transfer, the one that waits for longest first.
 	first, last *Holder
@@ -87,8 +88,9 @@
 
 func (b *Budget) releaseLocked(n int64) {
 	b.used -= n
-	if b.used < 0 {
-		panic("membudget: more bytes given back than taken")
+	if b.used < 0 { // a fault of the program, which must not end it
+		b.surplus -= b.used
+		b.used = 0
 	}
 	if b.freed != nil {
 		close(b.freed)
@@ -100,6 +102,8 @@
 type Usage struct {
 	Total, Used      int64
 	Evicted, Refused int64
+	// Surplus is what was given back and had not been taken: 0 unless there is a fault.
+	Surplus int64
 }
 
 // Usage returns the state of the budget.
@@ -109,7 +113,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Usage{b.total, b.used, b.evicted, b.refused}
+	return Usage{b.total, b.used, b.evicted, b.refused, b.surplus}
 }
 
 // EvictStalled makes the holder that has made no progress for longest give way, if that is
@@ -131,7 +135,7 @@
 	b.unlink(h)
 	h.gaveWay = true
 	b.evicted++
-	h.evict()
+	h.transfer.Interrupt()
 	return true
 }
 
--- a/internal/membudget/holder.go
+++ b/internal/membudget/holder.go
@@ -8,8 +8,8 @@
 // Holder holds bytes of a budget for one message that is being transferred. Its methods may
 // be called concurrently.
 type Holder struct {
-	budget *Budget
-	evict  func()
+	budget   *Budget
+	transfer Interrupter
 
 	// Guarded by the budget's mutex, except for waits, which the one goroutine that
 	// acquires uses.
@@ -21,10 +21,16 @@
 	waits      bool
 }
 
-// Init sets the budget, which may be nil. Evict is called at most once, with the budget
-// locked, if the holder has to give way; it must not block nor call the budget. Release must
-// be called at the end.
-func (h *Holder) Init(b *Budget, evict func()) { h.budget, h.evict = b, evict }
+// Interrupter ends a transfer.
+type Interrupter interface {
+	// Interrupt is called at most once, with the budget locked, if the holder has to give
+	// way. It must not block nor call the budget.
+	Interrupt()
+}
+
+// Init sets the budget, which may be nil, and the transfer. Release must be called at the
+// end.
+func (h *Holder) Init(b *Budget, transfer Interrupter) { h.budget, h.transfer = b, transfer }
 
 // Acquire takes n bytes. If the budget is exhausted, another holder gives way. Acquire fails
 // with ErrExhausted if none can, and with ErrEvicted if this one had to give way.
