Bound the ports for other hosts and operators, and heads

Connections and bodies at the peers' port, the dispatch port, the readiness port and the metrics port had no bound, and the dispatch server ended the process when no descriptor was left. Connections of other hosts now have a quarter of limits.maxDescriptors, their bodies a budget of their own, so that callers can't displace them; 64 connections may be open at each operator port, with 10 s for a request. max_header_bytes of the configuration applies to callers' heads. At a shutdown, connections and bodies without a byte for a second no longer delay its end.

--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -67,3 +70,43 @@
 	}
 	return count
 }
+
+// failingListener reports a lack of descriptors first.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a server that ends when the process has no descriptors left, and against
+// connections above the bound.
+func TestCountedListener(t *testing.T) {
+	inner, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer inner.Close()
+	refused := 0
+	listener := Counted(&failingListener{Listener: inner}, 1, func() { refused++ })
+	for range 2 {
+		client, err := new(net.Dialer).DialContext(context.Background(), "tcp", inner.Addr().String())
+		assert.NilError(t, err)
+		accepted, err := listener.Accept()
+		assert.NilError(t, err)
+		extra, err := new(net.Dialer).DialContext(context.Background(), "tcp", inner.Addr().String())
+		assert.NilError(t, err)
+		time.AfterFunc(50*time.Millisecond, func() { _ = accepted.Close() })
+		time.Sleep(10 * time.Millisecond)
+		go func() { time.Sleep(100 * time.Millisecond); _ = inner.(*net.TCPListener).SetDeadline(time.Now()) }()
+		_, err = listener.Accept()
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		assert.NilError(t, inner.(*net.TCPListener).SetDeadline(time.Time{}))
+		assert.NilError(t, errors.Join(client.Close(), extra.Close()))
+	}
+	assert.Equal(t, refused, 2)
+}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -222,12 +222,12 @@
 func (h *Handler) bodyError(err error) *apierror.Error {
 	switch {
 	case errors.Is(err, membudget.ErrEvicted), errors.Is(err, membudget.ErrExhausted):
-		h.Limits.reached(limitMemory, "callers.memoryShare")
+		h.Limits.Reached(LimitMemory, "callers.memoryShare")
 		return apierror.Wrap(apierror.KindOverloaded, err, "no memory for the body")
 	case errors.Is(err, errBodyTooLong):
 		return apierror.Wrap(apierror.KindTooLarge, err, "the body exceeds the limit of the configuration")
 	case errors.Is(err, errBodyStalled):
-		h.Limits.reached(limitBodyProgress, "callers.bodyPeriod")
+		h.Limits.Reached(LimitBodyProgress, "callers.bodyPeriod")
 	}
 	return apierror.Wrap(apierror.KindCanceled, err, "the body could not be read")
 }
--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -148,3 +148,13 @@
 	waitFor(t, func() bool { return p.logs.FilterMessage("entry: caller left").Len() > 0 })
 	waitFor(t, func() bool { return p.handler.Budget.Usage().Used+p.handler.Budget.Usage().Surplus == 0 })
 }
+
+// Guards against heads above max_header_bytes, and against a legal one that is refused.
+func TestHeadIsBounded(t *testing.T) {
+	p := newTestHostWith(t, testHostOptions{}, respondOK)
+	for size, expected := range map[int]int{16_000: http.StatusOK, 16_400: http.StatusRequestEntityTooLarge, 80_000: http.StatusRequestHeaderFieldsTooLarge} {
+		status, _, _, err := p.do(t, http.MethodGet, "/safe/x", "", "X-Large", strings.Repeat("h", size))
+		assert.NilError(t, err)
+		assert.Equal(t, status, expected, "%d bytes", size)
+	}
+}
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -83,7 +83,7 @@
 		return routes.Route{Name: name, Prefix: "/" + name + "/", Kind: kind, Timeout: options.timeout, Target: options.timeout / 2,
 			MaxAttempts: 2, Backends: []routes.Backend{{Service: "svc", Weight: 1}}}
 	}
-	config := routes.NewConfig(7, 1, []routes.Service{{Name: "svc"}}, routes.Limits{MaxBodyBytes: options.maxBodyBytes},
+	config := routes.NewConfig(7, 1, []routes.Service{{Name: "svc"}}, routes.Limits{MaxBodyBytes: options.maxBodyBytes, MaxHeaderBytes: 16384},
 		map[string][]routes.Route{"a.example": {route("safe", routes.Safe), route("unsafe", routes.Unsafe)}})
 	snapshot := control.Snapshot{Config: config, Servers: list, HostCount: 1}
 	local, central := dispatch.NewDispatcher(), dispatch.NewDispatcher()
@@ -105,7 +105,7 @@
 		Placer: placing.NewPlacer("", exchange.Dial, local, central, limits), ServerPools: pools, RetryBudget: budget, RateLimits: limits, Metrics: instruments, Log: zap.New(core), Budget: options.budget, CallerLimits: options.callerLimits})
 	p.handler = handler
 	frontend := httptest.NewUnstartedServer(handler)
-	frontend.Config.ConnContext = network.ContextWithConn
+	frontend.Config.ConnContext, frontend.Config.MaxHeaderBytes = network.ContextWithConn, maxHeaderBytes
 	frontend.Start()
 	t.Cleanup(frontend.Close)
 	p.url = frontend.URL
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -10,28 +10,31 @@
 	"go.uber.org/zap"
 )
 
-// limitName names a limit on callers in logs and metrics.
-type limitName string
+// LimitName names a limit in logs and metrics.
+type LimitName string
 
-// The limits on callers.
+// The limits. The last two concern other hosts and operators, the others callers.
 const (
-	limitMemory           limitName = "memory"
-	limitBodyProgress     limitName = "body-progress"
-	limitResponseProgress limitName = "response-progress"
-	limitConnections      limitName = "connections"
+	LimitMemory           LimitName = "memory"
+	LimitBodyProgress     LimitName = "body-progress"
+	LimitResponseProgress LimitName = "response-progress"
+	LimitConnections      LimitName = "connections"
+	LimitHeader           LimitName = "header"
+	LimitPeerConnections  LimitName = "peer-connections"
+	LimitAdminConnections LimitName = "admin-connections"
 )
 
 // limitLogInterval is the least time between two log lines about a limit.
 const limitLogInterval = time.Second
 
-// LimitEvents counts how often limits on callers are reached, and logs it. Its methods may
-// be called on nil.
+// LimitEvents counts how often limits are reached, and logs it. Its methods may be called
+// concurrently and on nil.
 type LimitEvents struct {
 	counter metric.Int64Counter
 	log     *zap.Logger
 
 	mu     sync.Mutex
-	limits map[limitName]*limitState
+	limits map[LimitName]*limitState
 }
 
 // limitState is what is known of one limit.
@@ -42,13 +45,13 @@
 
 // NewLimitEvents creates the counter.
 func NewLimitEvents(meter metric.Meter, log *zap.Logger) (*LimitEvents, error) {
-	counter, err := meter.Int64Counter("entry.limits_reached", metric.WithDescription("Requests and connections that a limit on callers ended, by limit."))
-	return &LimitEvents{counter: counter, log: log.Named("entry"), limits: make(map[limitName]*limitState)}, err
+	counter, err := meter.Int64Counter("entry.limits_reached", metric.WithDescription("Requests and connections that a limit ended, by limit."))
+	return &LimitEvents{counter: counter, log: log.Named("entry"), limits: make(map[LimitName]*limitState)}, err
 }
 
-// reached counts that a limit was reached. Setting is the path of the setting that changes
+// Reached counts that a limit was reached. Setting is the path of the setting that changes
 // it.
-func (e *LimitEvents) reached(name limitName, setting string) {
+func (e *LimitEvents) Reached(name LimitName, setting string) {
 	if e == nil {
 		return
 	}
@@ -65,6 +68,6 @@
 	if now.Sub(state.loggedAt) < limitLogInterval {
 		return
 	}
-	e.log.Warn("entry: limit on callers reached", zap.String("limit", string(name)), zap.String("setting", setting), zap.Int("times", state.unlogged))
+	e.log.Warn("entry: limit reached", zap.String("limit", string(name)), zap.String("setting", setting), zap.Int("times", state.unlogged))
 	state.loggedAt, state.unlogged = now, 0
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -80,6 +80,10 @@
 	if limit := snapshot.Config.Limits.MaxBodyBytes; limit > 0 && r.ContentLength > limit {
 		return q, apierror.New(apierror.KindTooLarge, "the body has %d bytes, at most %d are allowed", r.ContentLength, limit)
 	}
+	if limit := snapshot.Config.Limits.MaxHeaderBytes; limit > 0 && headBytes(r) > limit {
+		h.Limits.Reached(LimitHeader, "max_header_bytes")
+		return q, apierror.New(apierror.KindTooLarge, "the head has more than %d bytes", limit)
+	}
 	q.service = h.splitter.Pick(route, h.splitOffset)
 	if text := r.Header.Get(h.HeaderNames.KeyPosition); text != "" && snapshot.Config.Services[q.service].HasKeyOwners {
 		position, err := strconv.ParseUint(text, 10, 16)
@@ -120,6 +124,17 @@
 	return q, nil
 }
 
+// headBytes returns the size of a request's head without white space that does not matter.
+func headBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host: ") + len(r.Host) + 8 // spaces and line ends
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + 4
+		}
+	}
+	return size
+}
+
 // fingerprint identifies requests that look the same to a server.
 func (h *Handler) fingerprint(q *request) []byte {
 	f := quarantine.FingerprintOf("", q.upstream.Method, q.upstream.Host+q.upstream.Target, q.upstream.Body)
--- a/internal/entry/responseprogress.go
+++ b/internal/entry/responseprogress.go
@@ -44,7 +44,7 @@
 	case now.Sub(p.since) >= p.limits.ResponsePeriod:
 		_ = p.conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
 		p.conn = nil
-		p.events.reached(limitResponseProgress, "callers.responsePeriod")
+		p.events.Reached(LimitResponseProgress, "callers.responsePeriod")
 	}
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -27,6 +27,9 @@
 	// load balancer probes readiness each second and removes a host after two
 	// failed probes.
 	drainAcceptPeriod = 3200 * time.Millisecond
+	// shutdownStall is the time without a byte after which a connection or a body no
+	// longer delays the end of a shutdown.
+	shutdownStall = time.Second
 	// maxHeaderBytes bounds the heads of requests until the configuration's limit is
 	// applied; net/http allows 4 KiB more. Each connection may hold a head of this size.
 	maxHeaderBytes = 64 << 10
@@ -44,7 +47,7 @@
 // at a time; 0 sets no bound.
 func NewServer(handler *Handler, maxConns int) *Server {
 	s := &Server{handler: handler, log: handler.Log}
-	s.conns = connlimit.New(maxConns, func(bool) { handler.Limits.reached(limitConnections, "callers.maxConnections") })
+	s.conns = connlimit.New(maxConns, func(bool) { handler.Limits.Reached(LimitConnections, "callers.maxConnections") })
 	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: s.conns.ConnState, ConnContext: network.ContextWithConn, ErrorLog: zap.NewStdLog(handler.Log)}
 	return s
@@ -87,6 +90,12 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	// Connections without a request and bodies that make no progress would last until the
+	// end of the period.
+	now = time.Now()
+	s.conns.CloseIdle(shutdownStall, now)
+	for s.handler.Budget.EvictStalled(shutdownStall, now) {
+	}
 	if err := s.http.Shutdown(ctx); err != nil {
 		s.log.Warn("entry: requests in flight aborted at the end of the shutdown", zap.Error(err))
 		return s.http.Close()
--- a/internal/entryhost/callerlimits.go
+++ b/internal/entryhost/callerlimits.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"time"
 
 	"go.opentelemetry.io/otel/metric"
+	"go.uber.org/zap"
 
+	"github.com/cassiasill/cassiasill/internal/connlimit"
 	"github.com/cassiasill/cassiasill/internal/entry"
 	"github.com/cassiasill/cassiasill/internal/membudget"
 	"github.com/cassiasill/cassiasill/internal/network"
@@ -43,6 +47,43 @@
 	return network.SetListenerBuffers(l, o.ReceiveBufferBytes, o.SendBufferBytes)
 }
 
+const (
+	// peerMemoryDivisor is the part of the callers' memory that bodies of other hosts may
+	// have besides it, so that callers can't displace them: one in eight.
+	peerMemoryDivisor = 8
+	// maxPeerBodyBytes is above the largest message between hosts, a server list.
+	maxPeerBodyBytes = 16 << 20
+	// maxAdminConns bounds the connections to each of the readiness and metrics ports.
+	maxAdminConns = 64
+	// adminTimeout bounds a request for readiness or metrics and its response.
+	adminTimeout = 10 * time.Second
+	// maxInternalHeaderBytes bounds the heads of requests of other hosts and operators.
+	maxInternalHeaderBytes = 16 << 10
+)
+
+// countPeerLimit counts a connection of another host that was refused or closed.
+func (o *Options) countPeerLimit() {
+	o.limitEvents.Reached(entry.LimitPeerConnections, "limits.maxDescriptors")
+}
+
+// boundPeers returns the server for other hosts and the listener that it must use.
+func (o *Options) boundPeers(handler http.Handler, l net.Listener) (*http.Server, net.Listener) {
+	limiter := connlimit.New(o.MaxPeerConns, func(bool) { o.countPeerLimit() })
+	if memory := o.Callers.MemoryBytes / peerMemoryDivisor; memory > 0 {
+		handler = entry.BoundBodies(handler, membudget.New(memory, memory/reserveDivisor), o.Callers.Limits, maxPeerBodyBytes)
+	}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxInternalHeaderBytes, ConnState: limiter.ConnState,
+		ConnContext: network.ContextWithConn, ErrorLog: zap.NewStdLog(o.Log)}, limiter.Listener(l)
+}
+
+// boundAdmin returns the server of the readiness or the metrics port and the listener that it
+// must use.
+func (o *Options) boundAdmin(handler http.Handler, l net.Listener) (*http.Server, net.Listener) {
+	limiter := connlimit.New(maxAdminConns, func(bool) { o.limitEvents.Reached(entry.LimitAdminConnections, "none") })
+	return &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout, MaxHeaderBytes: maxInternalHeaderBytes,
+		ConnState: limiter.ConnState, ErrorLog: zap.NewStdLog(o.Log)}, limiter.Listener(l)
+}
+
 // registerCallerGauges registers gauges of the byte budget and of the callers' connections.
 func registerCallerGauges(meter metric.Meter, budget *membudget.Budget, connections func() int) error {
 	gauges := []struct {
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -73,6 +73,8 @@
 	// Metrics are served on MetricsAddress.
 	Metrics *Metrics
 	Log     *zap.Logger
+
+	limitEvents *entry.LimitEvents // created by New
 }
 
 // Host is one entry host.
@@ -87,6 +89,10 @@
 	if options.Listen == nil {
 		options.Listen = network.OS{}.Listen
 	}
+	var err error
+	if options.limitEvents, err = entry.NewLimitEvents(options.Metrics.Meter("entry"), options.Log); err != nil {
+		return nil, err
+	}
 	limits := ratelimit.NewTable(options.Clock, options.Log)
 	if err := registerRateLimitGauges(options.Metrics.Meter("ratelimit"), limits); err != nil {
 		return nil, err
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -10,6 +10,7 @@
 	"github.com/julienschmidt/httprouter"
 	"go.uber.org/zap"
 
+	"github.com/cassiasill/cassiasill/internal/connlimit"
 	"github.com/cassiasill/cassiasill/internal/control"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
 	"github.com/cassiasill/cassiasill/internal/detour"
@@ -53,7 +54,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(fleetpbconnect.NewFleetServiceHandler(s.node))
 	mux.Handle(detour.Path, detour.NewServer(s.options.Reach, s.options.Dial, s.isServer, s.options.Metrics.countServedDetour, s.options.Log.Named("detour")))
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ErrorLog: zap.NewStdLog(s.options.Log)}
+	s.server, listener = s.options.boundPeers(mux, listener)
 	registry.Go(nameControl+" server", func(context.Context) error {
 		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -109,6 +110,7 @@
 	if err != nil {
 		return err
 	}
+	listener = connlimit.Counted(listener, s.options.MaxPeerConns, s.options.countPeerLimit)
 	registry.Go(nameDispatch+" local", s.local.Run)
 	registry.Go(nameDispatch+" central", s.central.Run)
 	server := placing.NewServer(s.central, s.limits)
@@ -176,14 +178,10 @@
 		pools.Update(snapshot)
 		placer.SetDispatchers(snapshot.Dispatchers)
 	})
-	limitEvents, err := entry.NewLimitEvents(s.options.Metrics.Meter("entry"), s.options.Log)
-	if err != nil {
-		return err
-	}
 	handler := entry.NewHandler(entry.Options{AvailabilityZone: s.options.AvailabilityZone, HeaderNames: s.options.HeaderNames,
 		View: s.node.View(), Reports: s.node.Reports, Placer: placer, ServerPools: pools,
 		RetryBudget: s.budget, RateLimits: s.limits, Reach: s.options.Reach, Metrics: s.metrics, Log: s.options.Log,
-		Budget: s.memory, CallerLimits: s.options.Callers.Limits, Limits: limitEvents})
+		Budget: s.memory, CallerLimits: s.options.Callers.Limits, Limits: s.options.limitEvents})
 	s.server = entry.NewServer(handler, s.options.Callers.MaxConns)
 	if err := registerCallerGauges(s.options.Metrics.Meter("entry"), s.memory, s.server.ConnCount); err != nil {
 		return err
@@ -271,7 +269,7 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, ErrorLog: zap.NewStdLog(s.options.Log)}
+		server, listener := s.options.boundAdmin(handler, listener)
 		s.servers = append(s.servers, server)
 		registry.Go(nameAdmin, func(context.Context) error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
