Bound the discarding of bodies that are not read

A request that is refused before its body is read (no route, too large, no configuration) made the HTTP server discard the body without a bound on the time, so a caller that stopped within it kept its connection. It now has one period of progress. Detours that a host opens for others are at most 256 at a time.

--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -35,8 +36,12 @@
 	isServer func(address string) bool
 	onDetour func()
 	log      *zap.Logger
+	open     atomic.Int64
 }
 
+// maxOpen bounds the detours that are open at a time. Each takes two descriptors and 32 KiB.
+const maxOpen = 256
+
 // NewServer returns a Server that connects only to addresses for which isServer
 // returns true. onDetour is called for each connection opened.
 func NewServer(tracker *Tracker, dial exchange.DialFunc, isServer func(address string) bool, onDetour func(), log *zap.Logger) *Server {
@@ -57,6 +62,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	defer s.open.Add(-1)
+	if s.open.Add(1) > maxOpen {
+		w.WriteHeader(http.StatusServiceUnavailable) // the other host asks the next one
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), exchange.DialTimeout)
 	defer cancel()
 	server, err := s.dial(ctx, "tcp", address)
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -217,6 +217,16 @@
 	q.heldBytes = 0
 }
 
+// boundDrain bounds the time in which the HTTP server discards a body that was not read.
+func (h *Handler) boundDrain(q *request, r *http.Request) {
+	if r.ContentLength == 0 || q.body != nil || h.CallerLimits.BodyPeriod <= 0 {
+		return
+	}
+	if c := network.CallerNetConn(r.Context()); c != nil {
+		_ = c.SetReadDeadline(time.Now().Add(h.CallerLimits.BodyPeriod)) // fails only on a closed connection
+	}
+}
+
 // bodyError returns the error of a request whose body could not be read. Nothing of the
 // request has reached a server.
 func (h *Handler) bodyError(err error) *apierror.Error {
--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -158,3 +161,37 @@
 		assert.Equal(t, status, expected, "%d bytes", size)
 	}
 }
+
+// Guards against connections that callers keep open by a message that does not end, whatever
+// the part in which they stop.
+func TestUnfinishedMessagesEnd(t *testing.T) {
+	chunked := requestHead("POST", "/unsafe/x", "id") + "Transfer-Encoding: chunked\r\n\r\n"
+	withLength := func(length int) string {
+		return requestHead("POST", "/unsafe/x", "id") + fmt.Sprintf("Content-Length: %d\r\n", length)
+	}
+	for name, message := range map[string]string{
+		"body one byte short":      withLength(900) + "\r\n" + strings.Repeat("b", 899),
+		"streamed body":            withLength(300<<10) + "\r\n" + strings.Repeat("b", 299<<10),
+		"expectation and silence":  withLength(900) + "Expect: 100-continue\r\n\r\n",
+		"no last chunk":            chunked + strings.Repeat("1\r\nb\r\n", 500),
+		"endless chunk extension":  chunked + "1;" + strings.Repeat("e", 100_000),
+		"endless trailer":          chunked + "0\r\n" + strings.Repeat("A: b\r\n", 20_000),
+		"trailer and silence":      chunked + "0\r\nA: b\r\n",
+		"refused before its body":  withLength(600<<10) + "\r\n" + strings.Repeat("b", 1000),
+		"no route, body and pause": "POST /x HTTP/1.1\r\nHost: b.example\r\nContent-Length: 9\r\n\r\n1",
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newTestHostWith(t, testHostOptions{maxBodyBytes: 400 << 10, timeout: 10 * time.Second, budget: membudget.New(1<<20, 0),
+				callerLimits: CallerLimits{MinProgressBytes: 512, BodyPeriod: 300 * time.Millisecond}}, func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+			})
+			c := dialHost(t, p)
+			_, _ = io.WriteString(c, message) // fails if the host closes the connection before
+			assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+			response, err := io.ReadAll(c)
+			assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "the connection stays open after %q", response)
+			assert.Assert(t, !strings.Contains(string(response), " 503 ") && !strings.Contains(string(response), " 408 "), "%s", response)
+			waitFor(t, func() bool { return p.handler.Budget.Usage().Used+p.handler.Budget.Usage().Surplus == 0 })
+		})
+	}
+}
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -128,12 +128,13 @@
 // or the host has no configuration or server list yet.
 func (h *Handler) writeError(w http.ResponseWriter, q *request, r *http.Request, failure *apierror.Error) {
 	response := failure.Response()
-	if q != nil && failure.Kind == apierror.KindCanceled {
-		h.endDeparted(q)
-	}
 	if q == nil {
 		q = &request{id: r.Header.Get(h.HeaderNames.RequestID), started: time.Now()}
 	}
+	h.boundDrain(q, r)
+	if q.caller != nil && failure.Kind == apierror.KindCanceled {
+		h.endDeparted(q)
+	}
 	h.Metrics.recordResult(q.route, string(failure.Kind), time.Since(q.started))
 	h.Log.Info("entry: request failed", zap.String("request", q.id), zap.String("kind", string(failure.Kind)),
 		zap.Int("status", response.Status), zap.Duration("after", time.Since(q.started)), zap.String("detail", failure.Detail),
