Bound heads while they are read, and leave room for the program's pages

When the bound on connections is reached and none waits for a request, a body without a byte for a second gives way to the next connection.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -23,6 +23,9 @@
 	// BodyPeriod and ResponsePeriod are the periods for request bodies and for responses.
 	// Responses have a longer one: the kernel of a slow reader makes room in large steps.
 	BodyPeriod, ResponsePeriod time.Duration
+	// MaxHeaderBytes bounds a head while it is read; net/http allows 4 KiB more. 0:
+	// defaultMaxHeaderBytes.
+	MaxHeaderBytes int
 }
 
 const (
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -27,12 +28,15 @@
 	// load balancer probes readiness each second and removes a host after two
 	// failed probes.
 	drainAcceptPeriod = 3200 * time.Millisecond
+	// connLimitStall is the time without a byte after which a body gives way to a new
+	// connection when the bound on connections is reached.
+	connLimitStall = time.Second
 	// shutdownStall is the time without a byte after which a connection or a body no
 	// longer delays the end of a shutdown.
 	shutdownStall = time.Second
-	// maxHeaderBytes bounds the heads of requests until the configuration's limit is
-	// applied; net/http allows 4 KiB more. Each connection may hold a head of this size.
-	maxHeaderBytes = 64 << 10
+	// defaultMaxHeaderBytes bounds the heads of requests while they are read. Many short
+	// fields take some ten times their size in memory.
+	defaultMaxHeaderBytes = 16 << 10
 )
 
 // Server accepts callers' connections.
@@ -47,12 +51,21 @@
 // at a time; 0 sets no bound.
 func NewServer(handler *Handler, maxConns int) *Server {
 	s := &Server{handler: handler, log: handler.Log}
-	s.conns = connlimit.New(maxConns, func(bool) { handler.Limits.Reached(LimitConnections, "callers.maxConnections") })
-	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHeaderBytes,
+	s.conns = connlimit.New(maxConns, s.onConnLimit)
+	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: cmp.Or(handler.CallerLimits.MaxHeaderBytes, defaultMaxHeaderBytes),
 		ConnState: s.conns.ConnState, ConnContext: network.ContextWithConn, ErrorLog: zap.NewStdLog(handler.Log)}
 	return s
 }
 
+// onConnLimit makes room for the next connection if this one was refused: without
+// connections that wait for a request, a body that makes no progress gives way.
+func (s *Server) onConnLimit(refused bool) {
+	s.handler.Limits.Reached(LimitConnections, "callers.maxConnections")
+	if refused {
+		s.handler.Budget.EvictStalled(connLimitStall, time.Now())
+	}
+}
+
 // ConnCount returns the number of open connections.
 func (s *Server) ConnCount() int { return s.conns.Count() }
 
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -74,6 +74,14 @@
 	CoreSpeed float64 `yaml:"coreSpeed"`
 }
 
+// programMB is what the pages of the program itself take of the process's memory.
+const programMB = 16
+
+// DataBytes is the part of the process's memory that is left for data, in bytes.
+func (l PlatformLimits) DataBytes() int64 {
+	return int64(max(l.MemoryMB-programMB, l.MemoryMB/2)) << 20
+}
+
 // Capacity is the processor time that the process gets, in cores.
 func (l PlatformLimits) Capacity() float64 { return l.CPUQuota * l.CoreSpeed }
 
@@ -92,7 +100,7 @@
 	p := &Platform{
 		Store:  PlatformStore{Timeout: Duration(time.Second)},
 		Limits: PlatformLimits{MemoryMB: 256, MaxDescriptors: 4096, CPUQuota: 1, CoreSpeed: 1},
-		Callers: PlatformCallers{ReceiveBuffer: 32 << 10, SendBuffer: 32 << 10, MinProgress: 512,
+		Callers: PlatformCallers{ReceiveBuffer: 32 << 10, SendBuffer: 32 << 10, MaxHeader: 16 << 10, MinProgress: 512,
 			BodyPeriod: Duration(5 * time.Second), ResponsePeriod: Duration(time.Minute)},
 		Log: Log{Level: "info", Format: "json"},
 	}
