Give up unread responses earlier while connections are short

Callers that read nothing could hold all connections for a minute. While new connections are refused, a response must make progress within callers.bodyPeriod.

--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -106,6 +106,7 @@
 	p.handler = handler
 	frontend := httptest.NewUnstartedServer(handler)
 	frontend.Config.ConnContext, frontend.Config.MaxHeaderBytes = network.ContextWithConn, defaultMaxHeaderBytes
+	assert.NilError(t, network.SetListenerBuffers(frontend.Listener, 32<<10, 32<<10))
 	frontend.Start()
 	t.Cleanup(frontend.Close)
 	p.url = frontend.URL
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -32,6 +33,8 @@
 type LimitEvents struct {
 	counter metric.Int64Counter
 	log     *zap.Logger
+	// refusedAt is when a connection was last refused, in Unix nanoseconds.
+	refusedAt atomic.Int64
 
 	mu     sync.Mutex
 	limits map[LimitName]*limitState
@@ -71,3 +74,18 @@
 	e.log.Warn("entry: limit reached", zap.String("limit", string(name)), zap.String("setting", setting), zap.Int("times", state.unlogged))
 	state.loggedAt, state.unlogged = now, 0
 }
+
+// pressurePeriod is how long connections count as short after one was refused.
+const pressurePeriod = time.Second
+
+// refusedConn records that a connection was refused because no other could be closed.
+func (e *LimitEvents) refusedConn(now time.Time) {
+	if e != nil {
+		e.refusedAt.Store(now.UnixNano())
+	}
+}
+
+// connsAreShort reports whether connections are being refused.
+func (e *LimitEvents) connsAreShort(now time.Time) bool {
+	return e != nil && now.UnixNano()-e.refusedAt.Load() < int64(pressurePeriod)
+}
--- a/internal/entry/responseprogress.go
+++ b/internal/entry/responseprogress.go
@@ -35,13 +35,17 @@
 	if p.conn == nil {
 		return
 	}
+	period := p.limits.ResponsePeriod
+	if p.events.connsAreShort(now) {
+		period = min(period, p.limits.BodyPeriod)
+	}
 	acked, pending, err := network.SendProgress(c.conn)
 	switch {
 	case err != nil:
 		return
 	case !pending || acked-p.acked >= uint64(p.limits.MinProgressBytes):
 		p.acked, p.since = acked, now
-	case now.Sub(p.since) >= p.limits.ResponsePeriod:
+	case now.Sub(p.since) >= period:
 		_ = p.conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
 		p.conn = nil
 		p.events.Reached(LimitResponseProgress, "callers.responsePeriod")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -58,10 +58,12 @@
 }
 
 // onConnLimit makes room for the next connection if this one was refused: without
-// connections that wait for a request, a body that makes no progress gives way.
+// connections that wait for a request, a body that makes no progress gives way, and responses
+// have a shorter period.
 func (s *Server) onConnLimit(refused bool) {
 	s.handler.Limits.Reached(LimitConnections, "callers.maxConnections")
 	if refused {
+		s.handler.Limits.refusedConn(time.Now())
 		s.handler.Budget.EvictStalled(connLimitStall, time.Now())
 	}
 }
