--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -235,7 +235,7 @@
 func (h *Handler) bodyError(err error) *apierror.Error {
 	switch {
 	case errors.Is(err, membudget.ErrEvicted), errors.Is(err, membudget.ErrExhausted):
-		h.Limits.Reached(LimitMemory, "callers.memoryShare")
+		h.Limits.Reached(LimitMemory, "callers.memory")
 		return apierror.Wrap(apierror.KindOverloaded, err, "no memory for the body")
 	case errors.Is(err, errBodyTooLong):
 		return apierror.Wrap(apierror.KindTooLarge, err, "the body exceeds the limit of the configuration")
