--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -15,6 +15,7 @@
 	"github.com/cassiasill/cassiasill/internal/detour"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/membudget"
 	"github.com/cassiasill/cassiasill/internal/pipeline"
 	"github.com/cassiasill/cassiasill/internal/placing"
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
@@ -56,15 +57,20 @@
 	RetryBudget      *RetryBudget
 	RateLimits       *ratelimit.Table
 	// Reach judges whether this host is cut off from the servers.
-	Reach   *detour.Tracker
+	Reach *detour.Tracker
+	// Budget holds the bytes of bodies and responses; nil is one without a limit.
+	Budget       *membudget.Budget
+	CallerLimits CallerLimits
+	// Limits counts and logs the limits that were reached.
+	Limits  *LimitEvents
 	Metrics *Metrics
 	Log     *zap.Logger
 	// PipelineDepth bounds the requests of one connection that are in progress at a time.
 	// Below 2, requests are served one after another.
 	PipelineDepth int
-	// Budget bounds the bytes that are read ahead and the responses that wait for their
-	// turn. Nil stands for no limit.
-	Budget pipeline.Budget
+	// ReadAheadBudget bounds the bytes that are read ahead and the responses that wait for
+	// their turn. Nil stands for no limit.
+	ReadAheadBudget pipeline.Budget
 }
 
 // Handler forwards callers' requests to servers.
@@ -161,14 +167,6 @@
 	}
 }
 
-// waitingStage returns the stage of a request that waits for a server of the service.
-func (h *Handler) waitingStage(service string) stage {
-	if h.Placer.DispatchesRemotely(service) {
-		return stageWaitingRemote
-	}
-	return stageWaiting
-}
-
 // attempt sends the request to one server.
 func (h *Handler) attempt(ctx context.Context, q *request, decision dispatch.Decision, ticket placing.AcquiredSlot) exchange.Result {
 	pool, server, ok := h.ServerPools.Pool(decision.Server)
@@ -196,6 +194,7 @@
 	}
 	sentAt := time.Now()
 	result := pool.Do(ctx, &q.upstream)
+	q.heldBytes += result.HeldBytes
 	if errors.Is(result.Err, errServerWithdrawn) {
 		return h.skipServer(q, decision, ticket, errServerWithdrawn)
 	}
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -20,6 +20,7 @@
 	"github.com/cassiasill/cassiasill/internal/control"
 	"github.com/cassiasill/cassiasill/internal/dispatch"
 	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/membudget"
 	"github.com/cassiasill/cassiasill/internal/network"
 	"github.com/cassiasill/cassiasill/internal/pipeline"
 	"github.com/cassiasill/cassiasill/internal/placing"
@@ -50,12 +51,14 @@
 
 // testHostOptions configure a testHost; zero values stand for defaults.
 type testHostOptions struct {
+	budget       *membudget.Budget
+	callerLimits CallerLimits
 	timeout      time.Duration // of both routes
 	maxBodyBytes int64         // of requests
 	dial         exchange.DialFunc
 	// pipelineDepth is that of the handler; negative turns reading ahead off.
-	pipelineDepth int
-	budget        pipeline.Budget
+	pipelineDepth   int
+	readAheadBudget pipeline.Budget
 }
 
 // newTestHostWith is newTestHost with options.
@@ -86,11 +89,14 @@
 		return routes.Route{Name: name, Prefix: "/" + name + "/", Kind: kind, Timeout: options.timeout, Target: options.timeout / 2,
 			MaxAttempts: 2, Backends: []routes.Backend{{Service: "svc", Weight: 1}}}
 	}
-	config := routes.NewConfig(7, 1, []routes.Service{{Name: "svc"}}, routes.Limits{MaxBodyBytes: options.maxBodyBytes},
+	config := routes.NewConfig(7, 1, []routes.Service{{Name: "svc"}}, routes.Limits{MaxBodyBytes: options.maxBodyBytes, MaxHeaderBytes: 16384},
 		map[string][]routes.Route{"a.example": {route("safe", routes.Safe), route("unsafe", routes.Unsafe)}})
 	snapshot := control.Snapshot{Config: config, Servers: list, HostCount: 1}
 	local, central := dispatch.NewDispatcher(), dispatch.NewDispatcher()
 	pools := NewServerPools(&headerNames, options.dial, local, central, nil, boottime.Now)
+	if options.budget != nil {
+		pools.SetBudget(options.budget)
+	}
 	pools.Update(&snapshot)
 	metrics, err := telemetry.NewMetrics()
 	assert.NilError(t, err)
@@ -104,12 +110,13 @@
 	budget.SetHosts(1)
 	handler := NewHandler(Options{HeaderNames: headerNames, View: control.NewStaticView(snapshot), Reports: control.NewReports(),
 		Placer: placing.NewPlacer("", exchange.Dial, local, central, limits), ServerPools: pools, RetryBudget: budget, RateLimits: limits, Metrics: instruments, Log: zap.New(core),
-		PipelineDepth: options.pipelineDepth, Budget: options.budget})
+		PipelineDepth: options.pipelineDepth, ReadAheadBudget: options.readAheadBudget, Budget: options.budget, CallerLimits: options.callerLimits})
 	p.handler = handler
 	t.Cleanup(handler.readAhead.group.Wait)
 	frontend := httptest.NewUnstartedServer(handler)
 	frontend.Listener = handler.Listener(frontend.Listener)
-	frontend.Config.ConnContext = network.ContextWithConn
+	frontend.Config.ConnContext, frontend.Config.MaxHeaderBytes = network.ContextWithConn, defaultMaxHeaderBytes
+	assert.NilError(t, network.SetListenerBuffers(frontend.Listener, 32<<10, 32<<10))
 	frontend.Start()
 	t.Cleanup(frontend.Close)
 	p.url = frontend.URL
--- a/internal/entry/readahead.go
+++ b/internal/entry/readahead.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := pipeline.NewConn(c, l.handler.Budget)
+	conn := pipeline.NewConn(c, l.handler.ReadAheadBudget)
 	conn.SetStarter(&session{h: l.handler, conn: conn})
 	return conn, nil
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -34,6 +33,13 @@
 	// without a length ends with the connection.
 	lacksChunks bool
 	stage       stage
+	// body is nil if the request has none.
+	body *requestBody
+	// heldBytes are the bytes of the responses to the request that are taken from the
+	// budget.
+	heldBytes int64
+	// closesConn is true if an error response must close the caller's connection.
+	closesConn bool
 	// heldOff is when the first server that wants no request yet will take one.
 	heldOff time.Duration
 }
@@ -74,6 +80,10 @@
 	if limit := snapshot.Config.Limits.MaxBodyBytes; limit > 0 && r.ContentLength > limit {
 		return q, apierror.New(apierror.KindTooLarge, "the body has %d bytes, at most %d are allowed", r.ContentLength, limit)
 	}
+	if limit := snapshot.Config.Limits.MaxHeaderBytes; limit > 0 && headBytes(r) > limit {
+		h.Limits.Reached(LimitHeader, "max_header_bytes")
+		return q, apierror.New(apierror.KindTooLarge, "the head has more than %d bytes", limit)
+	}
 	q.service = h.splitter.Pick(route, h.splitOffset)
 	if text := r.Header.Get(h.HeaderNames.KeyPosition); text != "" && snapshot.Config.Services[q.service].HasKeyOwners {
 		position, err := strconv.ParseUint(text, 10, 16)
@@ -83,14 +93,15 @@
 		q.position = int(position)
 		h.Reports.CountKey(q.service, uint16(position))
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBodyBytes))
+	body, complete, err := h.readBody(q, r, snapshot.Config.Limits.MaxBodyBytes)
 	if err != nil {
-		return q, apierror.Wrap(apierror.KindCanceled, err, "the body could not be read")
+		q.closesConn = true
+		return q, h.bodyError(err)
 	}
 	q.upstream = exchange.Request{ID: q.id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: upstreamRequestHeaders(r.Header, &h.HeaderNames),
 		Body: body, ContentLength: r.ContentLength, FreshConnOnly: !route.Kind.Repeatable()}
-	if len(body) == maxBufferedBodyBytes {
-		q.upstream.RemainingBody = r.Body
+	if !complete {
+		q.upstream.RemainingBody = q.body
 	} else {
 		q.upstream.ContentLength = int64(len(body))
 	}
@@ -113,6 +124,17 @@
 	return q, nil
 }
 
+// headBytes returns the size of a request's head without white space that does not matter.
+func headBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host: ") + len(r.Host) + 8 // spaces and line ends
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + 4
+		}
+	}
+	return size
+}
+
 // fingerprint identifies requests that look the same to a server.
 func (h *Handler) fingerprint(q *request) []byte {
 	f := quarantine.FingerprintOf("", q.upstream.Method, q.upstream.Host+q.upstream.Target, q.upstream.Body)
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -31,6 +31,8 @@
 	}
 	w.WriteHeader(result.Status)
 	q.stage = stageResponding
+	q.caller.watchResponse(h.CallerLimits, h.Limits)
+	defer q.caller.endResponse(h.CallerLimits)
 	var err error
 	if length < 0 && q.lacksChunks {
 		err = h.copyUnframedBody(w, q.caller, result)
@@ -125,12 +127,13 @@
 // or the host has no configuration or server list yet.
 func (h *Handler) writeError(w http.ResponseWriter, q *request, r *http.Request, failure *apierror.Error) {
 	response := failure.Response()
-	if q != nil && failure.Kind == apierror.KindCanceled {
-		h.endDeparted(q)
-	}
 	if q == nil {
 		q = &request{id: r.Header.Get(h.HeaderNames.RequestID), started: time.Now()}
 	}
+	h.boundDrain(q, r)
+	if q.caller != nil && failure.Kind == apierror.KindCanceled {
+		h.endDeparted(q)
+	}
 	h.Metrics.recordResult(q.route, string(failure.Kind), time.Since(q.started))
 	h.Log.Info("entry: request failed", zap.String("request", q.id), zap.String("kind", string(failure.Kind)),
 		zap.Int("status", response.Status), zap.Duration("after", time.Since(q.started)), zap.String("detail", failure.Detail),
@@ -143,6 +146,9 @@
 	if response.RetryAfter > 0 && response.Status == http.StatusServiceUnavailable {
 		header.Set("Retry-After", strconv.FormatFloat(response.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	if q.closesConn {
+		header.Set("Connection", "close")
+	}
 	body := []byte(string(failure.Kind) + "\n")
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -41,7 +41,7 @@
 	c := newCaller(r.Context(), started)
 	defer c.cancel()
 	o := h.execute(r, snapshot, route, c)
-	defer o.end()
+	defer h.end(o)
 	h.respond(w, r, o)
 }
 
@@ -58,7 +58,7 @@
 	return snapshot, route, nil
 }
 
-// execute forwards the request to servers. The outcome's end must be called.
+// execute forwards the request to servers. The outcome must be passed to end.
 func (h *Handler) execute(r *http.Request, snapshot *control.Snapshot, route *routes.Route, c *caller) outcome {
 	q, failure := h.newRequest(r, snapshot, route, c)
 	if failure != nil {
@@ -79,13 +79,14 @@
 	h.writeResponse(w, o.q, o.result)
 }
 
-// end ends what watches the caller. It must be called when the response has been written
-// or is dropped.
-func (o outcome) end() {
+// end ends what watches the caller and gives back what the request holds of the budget. It
+// must be called when the response has been written or is dropped.
+func (h *Handler) end(o outcome) {
 	if o.stopChecks != nil {
 		o.stopChecks()
 	}
 	if o.q != nil {
 		o.q.caller.cancel()
+		h.release(o.q)
 	}
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -1,15 +1,16 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/cassiasill/cassiasill/internal/connlimit"
 	"github.com/cassiasill/cassiasill/internal/network"
 )
 
@@ -27,8 +28,15 @@
 	// load balancer probes readiness each second and removes a host after two
 	// failed probes.
 	drainAcceptPeriod = 3200 * time.Millisecond
-	// maxHeaderBytes is more than any configuration allows.
-	maxHeaderBytes = 1 << 20
+	// connLimitStall is the time without a byte after which a body gives way to a new
+	// connection when the bound on connections is reached.
+	connLimitStall = time.Second
+	// shutdownStall is the time without a byte after which a connection or a body no
+	// longer delays the end of a shutdown.
+	shutdownStall = time.Second
+	// defaultMaxHeaderBytes bounds the heads of requests while they are read. Many short
+	// fields take some ten times their size in memory.
+	defaultMaxHeaderBytes = 16 << 10
 )
 
 // Server accepts callers' connections.
@@ -36,33 +44,36 @@
 	handler *Handler
 	http    *http.Server
 	log     *zap.Logger
-
-	mu        sync.Mutex
-	idleSince map[net.Conn]time.Time
+	conns   *connlimit.Limiter
 }
 
-// NewServer returns a Server that is not yet listening.
-func NewServer(handler *Handler) *Server {
-	s := &Server{handler: handler, log: handler.Log, idleSince: make(map[net.Conn]time.Time)}
-	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.trackIdle, ConnContext: network.ContextWithConn, ErrorLog: zap.NewStdLog(handler.Log)}
+// NewServer returns a Server that is not yet listening. At most maxConns connections are open
+// at a time; 0 sets no bound.
+func NewServer(handler *Handler, maxConns int) *Server {
+	s := &Server{handler: handler, log: handler.Log}
+	s.conns = connlimit.New(maxConns, s.onConnLimit)
+	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: cmp.Or(handler.CallerLimits.MaxHeaderBytes, defaultMaxHeaderBytes),
+		ConnState: s.conns.ConnState, ConnContext: network.ContextWithConn, ErrorLog: zap.NewStdLog(handler.Log)}
 	return s
 }
 
-// trackIdle records since when each connection is idle.
-func (s *Server) trackIdle(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateIdle {
-		s.idleSince[c] = time.Now()
-		return
+// onConnLimit makes room for the next connection if this one was refused: without
+// connections that wait for a request, a body that makes no progress gives way, and responses
+// have a shorter period.
+func (s *Server) onConnLimit(refused bool) {
+	s.handler.Limits.Reached(LimitConnections, "callers.maxConnections")
+	if refused {
+		s.handler.Limits.refusedConn(time.Now())
+		s.handler.Budget.EvictStalled(connLimitStall, time.Now())
 	}
-	delete(s.idleSince, c)
 }
 
+// ConnCount returns the number of open connections.
+func (s *Server) ConnCount() int { return s.conns.Count() }
+
 // Serve accepts connections until Shutdown is called.
 func (s *Server) Serve(listener net.Listener) error {
-	if err := s.http.Serve(s.handler.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.handler.Listener(s.conns.Listener(listener))); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -75,20 +86,7 @@
 	if config := s.handler.View.Load().Config; config != nil && config.Limits.IdleTimeout > 0 {
 		limit = time.Duration(float64(config.Limits.IdleTimeout) * idleTimeoutFactor)
 	}
-	s.mu.Lock()
-	var expired []net.Conn
-	for c, since := range s.idleSince {
-		if now.Sub(since) > limit {
-			expired = append(expired, c)
-			delete(s.idleSince, c)
-		}
-	}
-	s.mu.Unlock()
-	for _, c := range expired {
-		if err := c.Close(); err != nil {
-			s.log.Debug("entry: idle connection not closed", zap.Error(err))
-		}
-	}
+	s.conns.CloseIdle(limit, now)
 }
 
 // Shutdown drains the server: it keeps accepting connections for drainAcceptPeriod,
@@ -107,6 +105,12 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	// Connections without a request and bodies that make no progress would last until the
+	// end of the period.
+	now = time.Now()
+	s.conns.CloseIdle(shutdownStall, now)
+	for s.handler.Budget.EvictStalled(shutdownStall, now) {
+	}
 	// The HTTP server closes connections after the response in progress once it shuts down.
 	s.handler.awaitTurns(ctx)
 	err := s.http.Shutdown(ctx)
--- a/internal/entry/started.go
+++ b/internal/entry/started.go
@@ -84,6 +84,7 @@
 // drop drops the response. p.mu is held.
 func (p *startedRequest) drop() {
 	p.closeBody()
+	p.h.release(p.outcome.q)
 	p.outcome.result = exchange.Result{}
 	p.again = true
 	p.release()
@@ -98,7 +99,7 @@
 
 // reserve takes bytes from the budget and reports whether they were available.
 func (p *startedRequest) reserve(n int64) bool {
-	if p.h.Budget != nil && !p.h.Budget.TryAcquire(n) {
+	if p.h.ReadAheadBudget != nil && !p.h.ReadAheadBudget.TryAcquire(n) {
 		return false
 	}
 	p.reserved += n
@@ -107,8 +108,8 @@
 
 // release gives all bytes back to the budget.
 func (p *startedRequest) release() {
-	if p.h.Budget != nil && p.reserved > 0 {
-		p.h.Budget.Release(p.reserved)
+	if p.h.ReadAheadBudget != nil && p.reserved > 0 {
+		p.h.ReadAheadBudget.Release(p.reserved)
 	}
 	p.reserved = 0
 }
@@ -150,7 +151,7 @@
 	}
 	p.release()
 	p.closeBody()
-	p.outcome.end()
+	p.h.end(p.outcome)
 	p.h.Metrics.countCanceledAhead()
 	q := p.outcome.q
 	switch {
@@ -175,7 +176,7 @@
 		panic(p.panicked.AsError())
 	}
 	o := p.outcome
-	defer o.end()
+	defer h.end(o)
 	if p.again {
 		o.q.placement.Exclude, o.q.stage = nil, stageRetrying
 		o.result, o.failure = h.forward(p.caller.ctx, h.View.Load(), o.q)
--- a/internal/entry/started_test.go
+++ b/internal/entry/started_test.go
@@ -52,7 +52,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	p.url = listener.Addr().String()
-	s := NewServer(p.handler)
+	s := NewServer(p.handler, 0)
 	var group sync.WaitGroup
 	group.Go(func() { assert.Check(t, s.Serve(listener)) })
 	_, reader := sendPipelined(t, p, targets(4)...)
@@ -106,7 +106,7 @@
 		budget := &limitedBudget{}
 		budget.left.Store(c.bytes)
 		server := newGatedServer()
-		p := newTestHostWith(t, testHostOptions{timeout: departureTimeout, pipelineDepth: c.depth, budget: budget}, same(server.serve, 5)...)
+		p := newTestHostWith(t, testHostOptions{timeout: departureTimeout, pipelineDepth: c.depth, readAheadBudget: budget}, same(server.serve, 5)...)
 		conn, reader := sendPipelined(t, p, targets(10)...)
 		receiveAll(server.began, c.began)
 		assert.Equal(t, receive(server.began, 50*time.Millisecond), "", "depth %d, %d bytes", c.depth, c.bytes)
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -64,6 +64,10 @@
 	// EvacuationLimit is the time after the store's response to the operator from which
 	// on no request may be written to a server of an evacuated zone; 0 means the default.
 	EvacuationLimit time.Duration
+	// Callers bound what callers hold.
+	Callers CallerOptions
+	// MaxPeerConns bounds the connections of other hosts; 0 sets no bound.
+	MaxPeerConns int
 	// Listen and Dial are the host's network; the zero Listen is that of the operating
 	// system.
 	Listen ListenFunc
@@ -75,6 +79,8 @@
 	// Metrics are served on MetricsAddress.
 	Metrics *Metrics
 	Log     *zap.Logger
+
+	limitEvents *entry.LimitEvents // created by New
 }
 
 // Host is one entry host.
@@ -89,6 +95,10 @@
 	if options.Listen == nil {
 		options.Listen = network.OS{}.Listen
 	}
+	var err error
+	if options.limitEvents, err = entry.NewLimitEvents(options.Metrics.Meter("entry"), options.Log); err != nil {
+		return nil, err
+	}
 	limits := ratelimit.NewTable(options.Clock, options.Log)
 	if err := registerRateLimitGauges(options.Metrics.Meter("ratelimit"), limits); err != nil {
 		return nil, err
@@ -105,7 +115,7 @@
 		return nil, err
 	}
 	budget := entry.NewRetryBudget(options.RetryShare, options.RetryBurst, options.RetryWindow)
-	entries := &entryService{options: options, metrics: options.Metrics.entry, budget: budget, limits: limits}
+	entries := &entryService{options: options, metrics: options.Metrics.entry, budget: budget, limits: limits, memory: options.Callers.newBudget()}
 	admin := &adminService{options: options, metrics: options.Metrics.Metrics}
 	stopTimeout := max(options.GracePeriod-stopMargin, time.Second)
 	return &Host{kernel: kernel.New(options.Log, stopTimeout, controls, dispatching, admin, entries), budget: budget}, nil
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -10,6 +10,7 @@
 	"github.com/julienschmidt/httprouter"
 	"go.uber.org/zap"
 
+	"github.com/cassiasill/cassiasill/internal/connlimit"
 	"github.com/cassiasill/cassiasill/internal/control"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
 	"github.com/cassiasill/cassiasill/internal/detour"
@@ -17,6 +18,7 @@
 	"github.com/cassiasill/cassiasill/internal/entry"
 	"github.com/cassiasill/cassiasill/internal/exchange"
 	"github.com/cassiasill/cassiasill/internal/kernel"
+	"github.com/cassiasill/cassiasill/internal/membudget"
 	"github.com/cassiasill/cassiasill/internal/placing"
 	"github.com/cassiasill/cassiasill/internal/ratelimit"
 	"github.com/cassiasill/cassiasill/internal/registry"
@@ -52,7 +54,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(fleetpbconnect.NewFleetServiceHandler(s.node))
 	mux.Handle(detour.Path, detour.NewServer(s.options.Reach, s.options.Dial, s.isServer, s.options.Metrics.countServedDetour, s.options.Log.Named("detour")))
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ErrorLog: zap.NewStdLog(s.options.Log)}
+	s.server, listener = s.options.boundPeers(mux, listener)
 	registry.Go(nameControl+" server", func(context.Context) error {
 		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -110,6 +112,7 @@
 	if err != nil {
 		return err
 	}
+	listener = connlimit.Counted(listener, s.options.MaxPeerConns, s.options.countPeerLimit)
 	registry.Go(nameDispatch+" local", s.local.Run)
 	registry.Go(nameDispatch+" central", s.central.Run)
 	server := placing.NewServer(s.central, s.limits)
@@ -132,6 +135,7 @@
 	options  Options
 	metrics  *entry.Metrics
 	budget   *entry.RetryBudget
+	memory   *membudget.Budget
 	limits   *ratelimit.Table
 	node     *control.Node
 	servers  *registry.List // the list last passed to limits
@@ -160,6 +164,9 @@
 	s.node = controls.Node()
 	s.dialer = detour.NewDialer(s.options.Reach, s.options.Dial, s.node.DetourPeers, s.options.Metrics.countUsedDetour)
 	pools := entry.NewServerPools(&s.options.HeaderNames, s.dialer.Dial, local, central, s.metrics.CountConnection, s.options.Clock)
+	if s.memory != nil {
+		pools.SetBudget(s.memory)
+	}
 	s.options.Reach.OnChange(func(cut bool, failed int) {
 		s.logCut(cut, failed)
 		pools.CloseIdleConns()
@@ -175,12 +182,19 @@
 	})
 	handler := entry.NewHandler(entry.Options{AvailabilityZone: s.options.AvailabilityZone, HeaderNames: s.options.HeaderNames,
 		View: s.node.View(), Reports: s.node.Reports, Placer: placer, ServerPools: pools,
-		RetryBudget: s.budget, RateLimits: s.limits, Reach: s.options.Reach, Metrics: s.metrics, Log: s.options.Log, PipelineDepth: s.options.PipelineDepth})
-	s.server = entry.NewServer(handler)
+		RetryBudget: s.budget, RateLimits: s.limits, Reach: s.options.Reach, Metrics: s.metrics, Log: s.options.Log,
+		PipelineDepth: s.options.PipelineDepth, ReadAheadBudget: s.memory, Budget: s.memory, CallerLimits: s.options.Callers.Limits, Limits: s.options.limitEvents})
+	s.server = entry.NewServer(handler, s.options.Callers.MaxConns)
+	if err := registerCallerGauges(s.options.Metrics.Meter("entry"), s.memory, s.server.ConnCount); err != nil {
+		return err
+	}
 	listener, err := s.options.Listen(ctx, s.options.CallersAddress)
 	if err != nil {
 		return err
 	}
+	if err := s.options.Callers.setBuffers(listener); err != nil {
+		return err
+	}
 	registry.Go(nameEntry, func(context.Context) error { return s.server.Serve(listener) })
 	registry.Every(nameEntry+" sweep", time.Second, func() {
 		now := time.Now()
@@ -257,7 +271,7 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, ErrorLog: zap.NewStdLog(s.options.Log)}
+		server, listener := s.options.boundAdmin(handler, listener)
 		s.servers = append(s.servers, server)
 		registry.Go(nameAdmin, func(context.Context) error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -19,10 +19,10 @@
 	Seeds []string `yaml:"seeds"`
 	// Store is the address of the platform's key-value store. Required.
 	Store PlatformStore `yaml:"store"`
-	// Callers sets how callers are served.
-	Callers PlatformCallers `yaml:"callers"`
 	// Limits bound the process.
 	Limits PlatformLimits `yaml:"limits"`
+	// Callers bound what callers hold.
+	Callers PlatformCallers `yaml:"callers"`
 	// Bounds are the figures agreed with the platform, as it writes them.
 	Bounds string `yaml:"bounds"`
 	// Log sets what is logged.
@@ -62,23 +62,26 @@
 	Timeout Duration `yaml:"timeout"`
 }
 
-// PlatformCallers sets how callers are served.
-type PlatformCallers struct {
-	// PipelineDepth bounds the pipelined requests of one connection that are in progress
-	// at a time. With 0 or 1, requests are served one after another. Default: 16.
-	PipelineDepth int `yaml:"pipelineDepth"`
-}
-
 // PlatformLimits bound the process.
 type PlatformLimits struct {
 	// MemoryMB is what the process may use, in MB. Default: 256.
 	MemoryMB int `yaml:"memoryMB"`
+	// MaxDescriptors is how many descriptors the process may open. Default: 4096.
+	MaxDescriptors int `yaml:"maxDescriptors"`
 	// CPUQuota is the part of a core that the process gets. Default: 1.
 	CPUQuota float64 `yaml:"cpuQuota"`
 	// CoreSpeed is how fast a core is, relative to the others. Default: 1.
 	CoreSpeed float64 `yaml:"coreSpeed"`
 }
 
+// programMB is what the pages of the program itself take of the process's memory.
+const programMB = 16
+
+// DataBytes is the part of the process's memory that is left for data, in bytes.
+func (l PlatformLimits) DataBytes() int64 {
+	return int64(max(l.MemoryMB-programMB, l.MemoryMB/2)) << 20
+}
+
 // Capacity is the processor time that the process gets, in cores.
 func (l PlatformLimits) Capacity() float64 { return l.CPUQuota * l.CoreSpeed }
 
@@ -95,14 +98,16 @@
 // ParsePlatform is LoadPlatform for data; file is its name in errors.
 func ParsePlatform(file string, data []byte) (*Platform, error) {
 	p := &Platform{
-		Store:   PlatformStore{Timeout: Duration(time.Second)},
-		Callers: PlatformCallers{PipelineDepth: 16},
-		Limits:  PlatformLimits{MemoryMB: 256, CPUQuota: 1, CoreSpeed: 1},
-		Log:     Log{Level: "info", Format: "json"},
+		Store:  PlatformStore{Timeout: Duration(time.Second)},
+		Limits: PlatformLimits{MemoryMB: 256, MaxDescriptors: 4096, CPUQuota: 1, CoreSpeed: 1},
+		Callers: PlatformCallers{PipelineDepth: 16, ReceiveBuffer: 32 << 10, SendBuffer: 32 << 10, MaxHeader: 16 << 10, MinProgress: 512,
+			BodyPeriod: Duration(5 * time.Second), ResponsePeriod: Duration(time.Minute)},
+		Log: Log{Level: "info", Format: "json"},
 	}
 	if err := parse(file, data, p, p.validate); err != nil {
 		return nil, err
 	}
+	p.Callers.complete(p.Limits)
 	return p, nil
 }
 
@@ -122,6 +127,8 @@
 	between(d, "store.timeout", p.Store.Timeout, Duration(time.Millisecond), Duration(time.Minute))
 	between(d, "callers.pipelineDepth", p.Callers.PipelineDepth, 0, 256)
 	between(d, "limits.memoryMB", p.Limits.MemoryMB, 16, 1<<20)
+	between(d, "limits.maxDescriptors", p.Limits.MaxDescriptors, 256, 1<<20)
+	p.Callers.validate(d, p.Limits)
 	between(d, "limits.cpuQuota", p.Limits.CPUQuota, 0.001, 1024)
 	between(d, "limits.coreSpeed", p.Limits.CoreSpeed, 0.001, 1024)
 }
