--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -379,34 +379,3 @@
 	}
 	return s
 }
-
-// followConfig polls for changes of the operators' entries. After an error it lists
-// them again, as changes and deletions may have been missed.
-func (l *leadership) followConfig(ctx context.Context) {
-	n := l.node
-	after := int64(0)
-	for ctx.Err() == nil {
-		if after == 0 {
-			if after = n.readConfig(ctx); after == 0 {
-				n.sleep(ctx, storeRetryDelay)
-				continue
-			}
-		}
-		startedAt := n.Clock()
-		batch, err := n.Store.Poll(ctx, n.Schema.OperatorPrefix, after, configPollWait)
-		n.recordStoreResult(err)
-		if err != nil {
-			after = 0
-			n.sleep(ctx, storeRetryDelay/4)
-			continue
-		}
-		n.applyEvacuationEvents(batch.Events, batch.Revision, startedAt)
-		for _, event := range batch.Events {
-			if event.Key == n.Schema.ConfigKey && !event.Deleted {
-				n.applyStoredConfig(event.KeyValue, startedAt)
-			}
-		}
-		n.view.setConfig(nil, nil, startedAt)
-		after = max(after, batch.Revision)
-	}
-}
