--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -192,6 +192,20 @@
 	return !server.Draining && !evacuated
 }
 
+// TakesNewRequestsAt reports whether a listed server that takes new requests has the
+// address. It is false while the evacuated zones are unknown.
+func (s *Snapshot) TakesNewRequestsAt(address string) bool {
+	if s.Servers == nil || !s.Evacuations.Known() {
+		return false
+	}
+	for _, server := range s.Servers.Servers {
+		if server.Address == address {
+			return s.TakesNewRequests(server)
+		}
+	}
+	return false
+}
+
 // TakesKeysUntil returns until when hosts may send requests to a server that takes no
 // other new ones, for the keys that it holds. The result is 0 if they may not.
 func (s *Snapshot) TakesKeysUntil(server registry.Server) boottime.Instant {
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -65,16 +65,7 @@
 
 // isServer reports whether a listed server that takes new requests has the address.
 func (s *controlService) isServer(address string) bool {
-	snapshot := s.node.View().Load()
-	if snapshot.Servers == nil || !snapshot.Evacuations.Known() {
-		return false
-	}
-	for _, server := range snapshot.Servers.Servers {
-		if server.Address == address {
-			return snapshot.TakesNewRequests(server)
-		}
-	}
-	return false
+	return s.node.View().Load().TakesNewRequestsAt(address)
 }
 
 func (s *controlService) Stop(context.Context) error { return s.server.Close() }
