Include slow moments in lasting speeds and costs

Cause: samples of the lasting speed were divided by the time that the server reported for the moment. Waits and capacities were then estimated without the slow moments, at up to 1.4 times of what servers served, so owners of keys got more requests than they could serve in time.

Change: the reported time weighs in the choice between servers only.

--- a/internal/dispatch/momentary.go
+++ b/internal/dispatch/momentary.go
@@ -8,6 +8,9 @@
 const momentaryLifetime = 400 * time.Millisecond
 
 // momentaryTime is how long work takes at a server at present, relative to its usual time.
+// Only the choice between servers takes it into account. Lasting speeds and costs include
+// the slow moments: without them waits and capacities were estimated at up to 1.4 times of
+// what servers served, and owners of keys were given more than they could serve in time.
 type momentaryTime struct {
 	reported   float64 // 0: never
 	reportedAt Instant
@@ -27,15 +30,6 @@
 	return 1 + weight*(m.reported-1)
 }
 
-// UsualTime returns the usual time of work that took elapsed at a server that
-// reports the given percentage of its usual time; 0 stands for 100.
-func UsualTime(elapsed time.Duration, percent int) time.Duration {
-	if percent <= 0 {
-		return elapsed
-	}
-	return time.Duration(float64(elapsed) / (float64(percent) / 100))
-}
-
 // effectiveSpeed returns the speed at which the server works at present. No report makes
 // it faster than maxSpeed, so that a wrong one does not attract all requests.
 func (s *serverState) effectiveSpeed(now Instant) float64 {
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -18,7 +18,7 @@
 	case Abandoned:
 		// A request canceled after a long time still shows that the server is slow.
 		if elapsed := now.Sub(request.assignedAt); request.work > 0 && elapsed > 3*request.work {
-			s.recordSample(request.work, s.warmTime(now, time.Duration(float64(elapsed)/s.momentary.factor(now))))
+			s.recordSample(request.work, s.warmTime(now, elapsed))
 		}
 		return
 	case Inconclusive:
@@ -29,7 +29,7 @@
 		s.pausedUntil = min(s.pausedUntil, now)
 		s.connections.markIdle(now, request.hostID)
 		if !request.saturated && (!result.HasLoad || result.Waiting == 0) && request.work > 0 {
-			s.recordSample(request.work, s.warmTime(now, UsualTime(now.Sub(request.assignedAt), result.TimePercent)))
+			s.recordSample(request.work, s.warmTime(now, now.Sub(request.assignedAt)))
 		}
 		return
 	case Shed:
@@ -43,8 +43,8 @@
 	s.failureRate += (1 - s.failureRate) * failureWeight
 }
 
-// recordSample updates the estimated speed with one request that took elapsed, without
-// the momentary factor, for the given expected work.
+// recordSample updates the estimated speed with one request that took elapsed for the
+// given expected work.
 func (s *serverState) recordSample(work, elapsed time.Duration) {
 	// One very long request must not undo many normal ones.
 	observed := min(elapsed.Seconds(), maxSampleRatio*work.Seconds())
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -254,8 +254,6 @@
 		q.placement.Exclude = append(q.placement.Exclude, decision.Server)
 	}
 	if success {
-		// Costs and speeds are lasting ones.
-		took = dispatch.UsualTime(took, result.Load.TimePercent)
 		// Time spent queueing at the server says nothing about the work.
 		uncontended := !decision.Saturated && (!result.HasLoad || result.Load.Waiting == 0)
 		if !uncontended {
