Record addresses in a change of their own once all owners have answered

Cause: the change that records addresses was committed when the first owners had acknowledged their grants, and again for the others five seconds later, which TestUnreachableServerCostsFewChanges counts.

Change: it waits for the owners that have not answered yet, unless their grants fail.

--- a/internal/control/changes.go
+++ b/internal/control/changes.go
@@ -35,7 +35,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.recordAddresses(next) && now >= m.nextAddressCommit {
+	if recorded, missing := m.recordAddresses(next); recorded && now >= m.nextAddressCommit && !missing {
 		changed = true
 	}
 	if !changed {
--- a/internal/control/replaced.go
+++ b/internal/control/replaced.go
@@ -14,18 +14,21 @@
 const addressCommitInterval = 5 * time.Second
 
 // recordAddresses notes in the next assignment where the owners of ranges have
-// acknowledged grants. It returns true if an address was not known before. The caller
-// holds mu.
-func (m *assignmentManager) recordAddresses(next *shards.Assignment) (changed bool) {
+// acknowledged grants. It reports whether an address was not known before, and whether one
+// is missing that an answering owner is about to acknowledge. The caller holds mu.
+func (m *assignmentManager) recordAddresses(next *shards.Assignment) (recorded, missing bool) {
 	for i := range next.Ranges {
 		r := &next.Ranges[i]
 		h := m.holders[r.Owner]
-		if !r.Held() || h == nil || h.incarnation != r.Incarnation || len(h.ackedAt) == 0 || r.Address == h.address {
-			continue
+		switch {
+		case !r.Held():
+		case h == nil || h.incarnation != r.Incarnation || len(h.ackedAt) == 0:
+			missing = missing || r.Address == "" && (h == nil || h.failingSince == 0)
+		case r.Address != h.address:
+			r.Address, recorded = h.address, true
 		}
-		r.Address, changed = h.address, true
 	}
-	return changed
+	return recorded, missing
 }
 
 // hasEnded reports whether a failed release proves that the range's owner has ended:
