Count only failures at listed servers as signs of a cut

Cause: a leader that releases the ranges of many ended servers fails to connect to three of them one after the other, takes itself for cut off from all servers, and resigns; each next leader does the same. Since the addresses of ended owners are known from the assignment, every new leader tried them.

Change: failures at addresses that are not listed, or whose servers are leaving, do not count.

--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -255,3 +255,20 @@
 	p.dialer.Wait()
 	assert.Assert(t, !p.dialer.tracker.IsCut())
 }
+
+// Guards against a leader that takes itself for cut off, and resigns, because it releases
+// the ranges of servers that have ended: each next one did the same, and keys had no
+// owner (seen on a day that replaces a third of the servers).
+func TestEndedServersShowNoCut(t *testing.T) {
+	now := time.Now()
+	tracker := NewTracker()
+	tracker.SetAddresses(map[string]bool{"a": true, "b": true, "c": true})
+	for _, ended := range []string{"x", "y", "z", "x"} {
+		tracker.RecordFailure(ended, now)
+	}
+	assert.Assert(t, !tracker.IsCut())
+	for _, listed := range []string{"a", "b", "c"} {
+		tracker.RecordFailure(listed, now)
+	}
+	assert.Assert(t, tracker.IsCut())
+}
--- a/internal/detour/tracker.go
+++ b/internal/detour/tracker.go
@@ -22,6 +22,8 @@
 	// failed holds the servers that could not be reached since the last success.
 	failed   map[string]time.Time
 	servers  int // known servers; 0 if unknown
+	// addresses are those of the listed servers that are not leaving; nil if unknown.
+	addresses map[string]bool
 	cutSince time.Time
 	cutEnded time.Time
 }
@@ -46,6 +48,15 @@
 	t.servers = count
 }
 
+// SetAddresses sets the addresses of the listed servers that are not leaving. Failures at
+// others do not count: a leader that releases the ranges of many ended servers fails to
+// connect to one after the other, and must not take itself for cut off and resign.
+func (t *Tracker) SetAddresses(addresses map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addresses = addresses
+}
+
 // RecordSuccess records that a connection to a server was opened.
 func (t *Tracker) RecordSuccess(now time.Time) {
 	t.mu.Lock()
@@ -62,9 +73,13 @@
 	}
 }
 
-// RecordFailure records that no connection to the server could be opened.
+// RecordFailure records that no connection to the server's address could be opened.
 func (t *Tracker) RecordFailure(server string, now time.Time) {
 	t.mu.Lock()
+	if t.addresses != nil && !t.addresses[server] {
+		t.mu.Unlock()
+		return
+	}
 	if _, known := t.failed[server]; !known {
 		t.failed[server] = now
 	}
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -123,16 +123,18 @@
 
 // entryService accepts and forwards callers' requests.
 type entryService struct {
-	options  Options
-	metrics  *entry.Metrics
-	budget   *entry.RetryBudget
-	memory   *membudget.Budget
-	limits   *ratelimit.Table
-	node     *control.Node
-	servers  *registry.List // the list last passed to limits
-	server   *entry.Server
-	dialer   *detour.Dialer
-	stopping atomic.Bool
+	options Options
+	metrics *entry.Metrics
+	budget  *entry.RetryBudget
+	memory  *membudget.Budget
+	limits  *ratelimit.Table
+	node    *control.Node
+	servers *registry.List // the list last passed to limits
+	// reachList is the list last passed to the judgement about a cut.
+	reachList *registry.List
+	server    *entry.Server
+	dialer    *detour.Dialer
+	stopping  atomic.Bool
 }
 
 func (s *entryService) Name() string       { return nameEntry }
@@ -164,7 +166,7 @@
 	})
 	s.node.View().OnChange(func(snapshot *control.Snapshot) {
 		if snapshot.Servers != nil {
-			s.options.Reach.SetServers(len(snapshot.Servers.Servers))
+			s.updateReach(snapshot.Servers)
 		}
 		s.budget.SetHosts(snapshot.HostCount)
 		s.updateRateLimits(snapshot)
@@ -197,6 +199,22 @@
 	return nil
 }
 
+// updateReach tells the judgement about a cut which servers should be reachable.
+func (s *entryService) updateReach(list *registry.List) {
+	if list == s.reachList {
+		return
+	}
+	s.reachList = list
+	addresses := make(map[string]bool, len(list.Servers))
+	for _, server := range list.Servers {
+		if !server.Draining {
+			addresses[server.Address] = true
+		}
+	}
+	s.options.Reach.SetServers(len(list.Servers))
+	s.options.Reach.SetAddresses(addresses)
+}
+
 // logCut logs the beginning or the end of a cut from the servers.
 func (s *entryService) logCut(cut bool, failed int) {
 	log := s.options.Log.Named("detour")
