--- a/internal/control/hotkeys_test.go
+++ b/internal/control/hotkeys_test.go
@@ -81,6 +81,7 @@
 	r := &replay{total: total, random: rand.New(rand.NewPCG(5, 6)), now: boottime.Instant(time.Hour), capacities: make(map[string]float64),
 		servers: make(map[string]registry.Server), hosts: make([]map[uint32]uint32, hosts), reportAt: make([]boottime.Instant, hosts), owners: make(map[uint16]bool)}
 	node := NewNode(Options{Log: zap.NewNop(), Clock: func() boottime.Instant { return r.now }})
+	node.view = NewStaticView(Snapshot{Assignments: map[string]*shards.Assignment{}})
 	r.meter = newLoadMeter(r.now)
 	lead := &leadership{node: node, speeds: newSpeedMeter(), loads: map[string]*loadMeter{"s": r.meter}}
 	r.manager = newAssignmentManager(lead, "s")
