--- a/internal/detour/tracker.go
+++ b/internal/detour/tracker.go
@@ -20,12 +20,12 @@
 	mu       sync.Mutex
 	onChange func(cut bool, failed int) // never nil
 	// failed holds the servers that could not be reached since the last success.
-	failed   map[string]time.Time
-	servers  int // known servers; 0 if unknown
+	failed  map[string]time.Time
+	servers int // known servers; 0 if unknown
 	// addresses are those of the listed servers that are not leaving; nil if unknown.
 	addresses map[string]bool
-	cutSince time.Time
-	cutEnded time.Time
+	cutSince  time.Time
+	cutEnded  time.Time
 }
 
 // NewTracker returns a Tracker of a host that is not cut off.
