--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -89,7 +89,8 @@
 	// CutOff reports whether this host is cut off from all servers. Such a host
 	// does not lead while another can.
 	CutOff func() bool
-	// EvacuationLimit is the time limit of evacuations; 0 means DefaultEvacuationLimit.
+	// EvacuationLimit is how long after the operator's write hosts may still send requests to an
+	// evacuated zone; 0 means DefaultEvacuationLimit.
 	EvacuationLimit time.Duration
 	Clock           boottime.Clock
 	Log             *zap.Logger
--- a/internal/control/operatorentries.go
+++ b/internal/control/operatorentries.go
@@ -67,7 +67,8 @@
 	return before, after
 }
 
-// evacuationLimit returns the time limit of evacuations.
+// evacuationLimit returns how long after the operator's write hosts may still send requests
+// to an evacuated zone.
 func (n *Node) evacuationLimit() time.Duration {
 	if n.EvacuationLimit <= 0 {
 		return DefaultEvacuationLimit
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -63,7 +63,7 @@
 
 // newRequestBody returns the reader of a body of at most maxBytes, if positive.
 func newRequestBody(ctx context.Context, source io.Reader, budget *membudget.Budget, limits CallerLimits, maxBytes int64) *requestBody {
-	b := &requestBody{source: source, conn: network.CallerNetConn(ctx), limits: limits, allowed: maxBytes, left: limits.BodyPeriod}
+	b := &requestBody{source: source, conn: network.ContextConn(ctx), limits: limits, allowed: maxBytes, left: limits.BodyPeriod}
 	if maxBytes <= 0 {
 		b.allowed = -1
 	}
@@ -225,7 +225,7 @@
 	if r.ContentLength == 0 || q.body != nil || h.CallerLimits.BodyPeriod <= 0 {
 		return
 	}
-	if c := network.CallerNetConn(r.Context()); c != nil {
+	if c := network.ContextConn(r.Context()); c != nil {
 		_ = c.SetReadDeadline(time.Now().Add(h.CallerLimits.BodyPeriod)) // fails only on a closed connection
 	}
 }
--- a/internal/entry/responseprogress.go
+++ b/internal/entry/responseprogress.go
@@ -25,7 +25,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.response = responseProgress{limits: limits, events: events, conn: network.CallerNetConn(c.ctx), since: time.Now()}
+	c.response = responseProgress{limits: limits, events: events, conn: network.ContextConn(c.ctx), since: time.Now()}
 }
 
 // checkResponse ends the response if the caller has taken too little in the period. The
@@ -58,7 +58,7 @@
 	c.mu.Lock()
 	c.response.conn = nil
 	c.mu.Unlock()
-	if conn := network.CallerNetConn(c.ctx); conn != nil && limits.ResponsePeriod > 0 {
+	if conn := network.ContextConn(c.ctx); conn != nil && limits.ResponsePeriod > 0 {
 		_ = conn.SetWriteDeadline(time.Now().Add(limits.ResponsePeriod)) // fails only on a closed connection
 	}
 }
--- a/internal/network/callerconn.go
+++ b/internal/network/callerconn.go
@@ -37,13 +37,6 @@
 	return raw
 }
 
-// CallerNetConn returns the connection of the caller whose request has the context, or nil
-// if it is unknown.
-func CallerNetConn(ctx context.Context) net.Conn {
-	c, _ := ctx.Value(connContextKey{}).(net.Conn)
-	return c
-}
-
 // SetResetOnClose sets whether a connection is reset when it is closed, also at the end
 // of this process, or ends regularly. A nil connection is left alone.
 func SetResetOnClose(c syscall.RawConn, reset bool) error {
