Give the test of failures in a pipeline enough servers

Cause: three of its four servers refuse or break off requests and one is occupied, so the second attempt of the broken request found no free server in 4 of 10 runs, waited, and ended with 504 instead of 502.

--- a/internal/entry/readahead_test.go
+++ b/internal/entry/readahead_test.go
@@ -203,7 +203,7 @@
 		default:
 			respondTarget(w, r)
 		}
-	}, 4)...)
+	}, 12)...) // enough servers for each second attempt beside those that failed
 	_, reader := sendPipelined(t, p, "GET /safe/0", "GET /safe/refused", "GET /safe/1", "GET /safe/late", "GET /safe/broken", "GET /elsewhere/x", "GET /safe/2")
 	for _, c := range []struct {
 		target string
