Send no second attempt to the address of a key's ended owner

Cause: a request for a key whose owner had ended went up to three times to its address, where a server of another service answered that it is not meant.

Change: if another instance names itself, the request is rejected as having no owner, with the time to return; a request without a key excludes the server.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -37,6 +37,9 @@
 	noConfigRetryAfter = 300 * time.Millisecond
 	// noPathRetryAfter is the Retry-After value while no host reaches the servers.
 	noPathRetryAfter = time.Second
+	// endedOwnerRetryAfter is the Retry-After value if another server has the address of a
+	// key's owner, whose ranges are about to move.
+	endedOwnerRetryAfter = 500 * time.Millisecond
 	// lateDrainPeriod is how long after the begin of a planned stop the load balancer
 	// has removed the host. Requests then come on kept connections only, and their
 	// callers reach another host at once.
@@ -140,6 +143,11 @@
 		if errors.Is(result.Err, errHeldOff) && q.position != dispatch.NoPosition {
 			return result, &apierror.Error{Kind: kindIfNotExecuted(q.attempts, apierror.KindOverloaded), Detail: "the owner wants no requests yet", Err: result.Err, RetryAfter: max(q.heldOff, 2*responseMargin)}
 		}
+		if result.OtherInstance && q.position != dispatch.NoPosition {
+			// The owner has ended. Further attempts would reach a server of another service
+			// and use up that service's retries.
+			return result, &apierror.Error{Kind: kindIfNotExecuted(q.attempts, apierror.KindNoOwner), Detail: "the owner has ended", RetryAfter: endedOwnerRetryAfter}
+		}
 		v := decideAfterAttempt(q.route.Kind, q.route.MaxAttempts, q.attempts, result)
 		if v.action == actionRetry {
 			q.stage = stageRetrying
@@ -250,7 +258,7 @@
 	default:
 		q.attempts.possiblyExecuted++
 	}
-	if !result.Misdirected {
+	if !result.Misdirected || result.OtherInstance {
 		q.placement.Exclude = append(q.placement.Exclude, decision.Server)
 	}
 	if success {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -129,6 +129,8 @@
 	// Misdirected is true if another server has the address, or the server does
 	// not own the key.
 	Misdirected bool
+	// OtherInstance is true if another server has the address: the expected one has ended.
+	OtherInstance bool
 	// Sent is true if any byte of the request was written.
 	Sent bool
 	// SentLate is true if the request was written although its context had ended.
@@ -322,6 +324,8 @@
 	// The body of a refusal is not delivered; without memory for it, it is not read.
 	c.reusable = c.reusable && complete
 	result.Misdirected = misdirected
+	id := response.Header.Get(p.headers.Instance)
+	result.OtherInstance = misdirected && id != "" && id != r.ExpectedInstance
 	if refused {
 		result.Outcome = Refused
 		c.recordRefusal(r.ID)
