Log whom each configuration came from, and how stale the former one was

Only the host that read the store logged a configuration; followers logged nothing, so a late version could not be told from one that came late to the leader. Each host now logs the source (poll, listing, leader, peer), the time since the store had confirmed the former configuration, and the age of the news.

The functions on configurations move to a file of their own. No decision changes; go test ./internal/control passes.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -11,7 +11,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
 	"github.com/cassiasill/cassiasill/internal/registry"
 	"github.com/cassiasill/cassiasill/internal/store"
@@ -58,49 +57,6 @@
 	return true
 }
 
-// readConfig reads the operators' entries, which are the configuration and the
-// evacuations. It returns the store's revision, or 0 after a failure.
-func (n *Node) readConfig(ctx context.Context) int64 {
-	startedAt := n.Clock()
-	items, revision, err := n.Store.Range(ctx, n.Schema.OperatorPrefix)
-	n.recordStoreResult(err)
-	if err != nil {
-		return 0
-	}
-	// First the evacuations: a host that knows a configuration sends requests.
-	n.applyListedEvacuations(items, revision, startedAt)
-	for _, kv := range items {
-		if kv.Key == n.Schema.ConfigKey {
-			n.applyStoredConfig(kv, startedAt)
-		}
-	}
-	return revision
-}
-
-// applyStoredConfig applies a configuration that the store held at the given
-// instant. One that can't be decoded leaves the current one in force.
-func (n *Node) applyStoredConfig(kv store.KeyValue, at boottime.Instant) {
-	current := n.view.Load().Config
-	if current != nil && kv.ModRevision == current.Revision {
-		n.view.setConfig(nil, nil, at)
-		return
-	}
-	config, err := n.Schema.DecodeConfig(kv.Value, kv.ModRevision)
-	if err != nil {
-		n.Log.Warn("control: configuration rejected", zap.Int64("revision", kv.ModRevision), zap.Error(err))
-		return
-	}
-	if !config.IsNewerThan(current) {
-		if config.Revision > current.Revision {
-			n.Log.Warn("control: configuration in the store is older than the one in force, which stays", zap.Int64("version", current.Version), zap.Int64("stored_version", config.Version), zap.Int64("era", int64(store.EraOf(kv.ModRevision))))
-		}
-		n.view.setConfig(nil, nil, at)
-		return
-	}
-	n.Log.Info("control: configuration in force", zap.Int64("version", config.Version), zap.Int64("revision", config.Revision))
-	n.view.setConfig(config, kv.Value, at)
-}
-
 // serverReader keeps the server entries current by reading what has changed in
 // the store since its last read. That takes one call, where listing a large
 // deployment takes many.
--- a/internal/control/operatorentries.go
+++ b/internal/control/operatorentries.go
@@ -20,13 +20,17 @@
 // them again, as changes and deletions may have been missed.
 func (l *leadership) followConfig(ctx context.Context) {
 	n := l.node
-	after := int64(0)
+	after, polled := int64(0), int64(0)
 	for ctx.Err() == nil {
 		if after == 0 {
+			former := n.config()
 			if after = n.readConfig(ctx); after == 0 {
 				n.sleep(ctx, storeRetryDelay)
 				continue
 			}
+			if config := n.config(); config != nil && config != former && config.Revision <= polled {
+				n.Log.Error("control: a poll has missed a configuration", zap.Int64("version", config.Version), zap.Int64("revision", config.Revision), zap.Int64("polled", polled))
+			}
 		}
 		startedAt := n.Clock()
 		batch, err := n.Store.Poll(ctx, n.Schema.OperatorPrefix, after, configPollWait)
@@ -39,11 +43,12 @@
 		n.applyEvacuationEvents(batch.Events, batch.Revision, startedAt)
 		for _, event := range batch.Events {
 			if event.Key == n.Schema.ConfigKey && !event.Deleted {
-				n.applyStoredConfig(event.KeyValue, startedAt)
+				n.applyStoredConfig(event.KeyValue, startedAt, fromPoll)
 			}
 		}
 		n.view.setConfig(nil, nil, startedAt)
 		after = max(after, batch.Revision)
+		polled = after
 	}
 }
 
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -78,7 +78,11 @@
 		if err != nil {
 			n.Log.Warn("control: received configuration rejected", zap.Error(err))
 		} else {
-			n.view.setConfig(config, response.Config, configAt)
+			source := fromPeer
+			if response.Leader {
+				source = fromLeader
+			}
+			n.setConfig(config, response.Config, configAt, source)
 		}
 	} else {
 		n.view.setConfig(nil, nil, configAt)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -140,16 +140,16 @@
 
 // setConfig sets a configuration that the store held at the given instant,
 // unless it is not newer than the current one. A nil config only confirms the
-// current one.
-func (v *View) setConfig(config *routes.Config, raw []byte, at boottime.Instant) {
+// current one. It reports whether the configuration has changed.
+func (v *View) setConfig(config *routes.Config, raw []byte, at boottime.Instant) (changed bool) {
 	v.update(func(next *Snapshot) bool {
 		next.ConfigConfirmedAt = max(next.ConfigConfirmedAt, at)
-		if config == nil || !config.IsNewerThan(next.Config) {
-			return false
+		if changed = config != nil && config.IsNewerThan(next.Config); changed {
+			next.Config, next.RawConfig = config, raw
 		}
-		next.Config, next.RawConfig = config, raw
-		return true
+		return changed
 	})
+	return changed
 }
 
 // setServers sets a list that the store held at the given instant and revision,
