Have each host judge the age of the configuration

Callers got answers by a configuration for which a newer one had been acknowledged more than 2.5 s before.

Cause: only the leader read the operators' entries, and hosts judged what they knew by the age of the server list. If the leader's poll hung, or the store refused it, nobody noticed that the configuration was late; and when hosts did turn to relays, timeouts followed each other: 1.9 s for the poll, 1.0 s for each listing, up to 0.6 s for a held sync, an election before relays read, and 4 s before a host without relays reads by itself.

Change: each host judges the operators' entries by their own age, beside the sync with the leader. Relays read them above 1.4 s, the others ask three relays at once above 1.55 s, and read themselves if none answers. To make the age meaningful, the leader polls for 0.3 s instead of 0.9 s, gives an answer 0.25 s more, and says for how long it has held a sync. Evacuations are read and spread with the configuration and are kept current in the same way.

Why it works: the last confirmation by the store precedes any write that a host can have missed, so a limit of the age bounds how late the host is, whatever has failed and in whatever order.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -38,6 +38,13 @@
 	return revision
 }
 
+// readConfigWithin is readConfig with a time limit.
+func (n *Node) readConfigWithin(ctx context.Context, limit time.Duration) int64 {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return n.readConfig(ctx)
+}
+
 // applyStoredConfig applies a configuration that the store held at the given
 // instant. One that can't be decoded leaves the current one in force.
 func (n *Node) applyStoredConfig(kv store.KeyValue, at boottime.Instant, source string) {
--- /dev/null
+++ b/internal/control/configage.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
+	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
+)
+
+// Limits of the age of the operators' entries, the configuration and the evacuations,
+// which count from their last confirmation by the store. While the leader reads the
+// store and answers syncs, the age at a host stays below two polls, one held sync and the
+// delay between two: about 1.2 s at 59 hosts and 1.4 s at 195.
+const (
+	// maxRelayConfigAge is the age above which a relay reads the entries itself.
+	maxRelayConfigAge = 1400 * time.Millisecond
+	// maxConfigAge is the age above which any other host asks relays for them. It leaves
+	// the relays time to read first.
+	maxConfigAge = maxRelayConfigAge + 150*time.Millisecond
+	// configReadTimeout bounds the reading by a relay, which otherwise asks the others.
+	configReadTimeout = 300 * time.Millisecond
+	// configPeers is how many relays are asked at the same time.
+	configPeers = 3
+	// minConfigRetryDelay is the delay after a first attempt that has brought nothing
+	// newer. It doubles with each further one up to maxConfigRetryDelay.
+	minConfigRetryDelay = 150 * time.Millisecond
+	maxConfigRetryDelay = 1200 * time.Millisecond
+)
+
+// superviseConfig keeps the operators' entries current when the leader does not: it may
+// be lost, or reach the hosts and not the store. It does not wait for what Run does, in
+// which several timeouts may follow each other.
+func (n *Node) superviseConfig(ctx context.Context) {
+	delay := minConfigRetryDelay
+	for ctx.Err() == nil {
+		confirmedAt := n.view.Load().ConfigConfirmedAt
+		if confirmedAt == 0 {
+			n.sleep(ctx, minConfigRetryDelay) // Run searches for the first configuration
+			continue
+		}
+		if remaining := n.configAgeLimit() - n.Clock().Sub(confirmedAt); remaining > 0 {
+			n.sleep(ctx, remaining)
+			delay = minConfigRetryDelay
+			continue
+		}
+		n.refreshConfig(ctx)
+		if n.view.Load().ConfigConfirmedAt > confirmedAt {
+			continue
+		}
+		n.sleep(ctx, delay)
+		delay = min(2*delay, maxConfigRetryDelay)
+	}
+}
+
+// configAgeLimit returns the age above which this host looks for a newer configuration.
+func (n *Node) configAgeLimit() time.Duration {
+	if n.isRelay() && !n.Leading() {
+		return maxRelayConfigAge
+	}
+	return maxConfigAge
+}
+
+// refreshConfig reads the operators' entries, if this host is a relay, and otherwise asks
+// relays. If none of them answers, it reads too.
+func (n *Node) refreshConfig(ctx context.Context) {
+	if n.isRelay() && !n.Leading() && n.readConfigWithin(ctx, configReadTimeout) != 0 {
+		return
+	}
+	if !n.queryConfig(ctx) && !n.Leading() {
+		n.readConfigWithin(ctx, configReadTimeout)
+	}
+}
+
+// queryConfig asks some relays for their operators' entries at the same time, and reports
+// whether any has answered.
+func (n *Node) queryConfig(ctx context.Context) bool {
+	relays := n.relaysToQuery()
+	rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
+	answers := make(chan bool, configPeers)
+	asked := relays[:min(len(relays), configPeers)]
+	var group conc.WaitGroup
+	for _, address := range asked {
+		group.Go(func() { answers <- n.requestConfig(ctx, address) })
+	}
+	group.Wait()
+	answered := false
+	for range asked {
+		answered = <-answers || answered
+	}
+	return answered
+}
+
+// relaysToQuery returns the addresses of the other hosts that are relays.
+func (n *Node) relaysToQuery() []string {
+	if l := n.currentLeadership(); l != nil {
+		return slices.Clone(l.relayAddresses())
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(n.relays), func(a string) bool { return a == n.Address })
+}
+
+// requestConfig requests the operators' entries from another host and applies those that
+// are newer. It returns false if that host does not answer.
+func (n *Node) requestConfig(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
+	defer cancel()
+	request := &fleetpb.SyncRequest{Relay: true, ConfigOnly: true, Known: n.addVersions(&fleetpb.Known{}, n.baseServerList(false))}
+	client := fleetpbconnect.NewFleetServiceClient(n.PeerClient, "http://"+address)
+	sentAt := n.Clock()
+	response, err := client.Sync(ctx, connect.NewRequest(request))
+	if err != nil {
+		n.Log.Debug("control: relay does not answer", zap.String("peer", address), zap.Error(err))
+		return false
+	}
+	if response.Msg.Known != nil {
+		n.applyEvacuations(response.Msg, sentAt)
+		n.applyConfig(response.Msg, sentAt)
+	}
+	return true
+}
--- a/internal/control/configtime_test.go
+++ b/internal/control/configtime_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,11 +24,12 @@
 	mu      sync.Mutex
 	store   map[string]bool   // hosts whose calls to the store get none
 	watches map[string]string // prefix of the keys whose polls by a host get none
+	reads   map[string]string // prefix of the keys whose polls and listings by a host get none
 	cut     map[string]bool   // hosts whose calls to and from other hosts get none
 }
 
 func newSilences() *silences {
-	return &silences{store: make(map[string]bool), watches: make(map[string]string), cut: make(map[string]bool)}
+	return &silences{store: make(map[string]bool), watches: make(map[string]string), reads: make(map[string]string), cut: make(map[string]bool)}
 }
 
 func (f *silences) silentStore(host string) bool {
@@ -40,7 +42,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	silenced, ok := f.watches[host]
-	return f.store[host] || ok && len(prefix) >= len(silenced) && prefix[:len(silenced)] == silenced
+	return f.store[host] || ok && strings.HasPrefix(prefix, silenced) || f.silentReadLocked(host, prefix)
+}
+
+func (f *silences) silentRead(host, prefix string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store[host] || f.silentReadLocked(host, prefix)
+}
+
+func (f *silences) silentReadLocked(host, prefix string) bool {
+	silenced, ok := f.reads[host]
+	return ok && strings.HasPrefix(prefix, silenced)
 }
 
 func (f *silences) silentLink(from, to string) bool {
@@ -68,6 +81,12 @@
 	f.watches[host] = prefix
 }
 
+func (f *silences) silenceReads(host, prefix string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads[host] = prefix
+}
+
 // silenceableStore is a host's store. A call whose answer is silenced, also while it is
 // on its way, fails at its time limit.
 type silenceableStore struct {
@@ -113,7 +132,8 @@
 }
 
 func (s *silenceableStore) Range(ctx context.Context, prefix string) ([]store.KeyValue, int64, error) {
-	out, err := awaitAnswer(ctx, storeTimeout, s.silent, func(ctx context.Context) (out listing, err error) {
+	silent := func() bool { return s.silences.silentRead(s.host, prefix) }
+	out, err := awaitAnswer(ctx, storeTimeout, silent, func(ctx context.Context) (out listing, err error) {
 		out.items, out.revision, err = s.Store.Range(ctx, prefix)
 		return out, err
 	})
@@ -217,6 +237,10 @@
 		f.silenceWatches(leader, "operator/")
 		return nil
 	}},
+	{"operators' entries silent to the leader", func(_ *cluster, f *silences, leader string, _ []string) []string {
+		f.silenceReads(leader, "operator/")
+		return nil
+	}},
 	{"watches silent", func(c *cluster, f *silences, _ string, _ []string) []string {
 		for _, h := range c.hosts {
 			f.silenceWatches(h.name, "")
@@ -286,3 +310,24 @@
 		}
 	}
 }
+
+// Guards against hosts that look for a newer configuration although the leader is well:
+// their calls would grow with the deployment.
+func TestConfigurationStaysFreshWithoutFaults(t *testing.T) {
+	for _, hosts := range []int{12, 59, manyHosts} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, hosts, 6, 1, nil)
+			time.Sleep(8 * time.Second)
+			oldest := time.Duration(0)
+			for range 400 {
+				time.Sleep(13 * time.Millisecond)
+				for _, h := range c.hosts {
+					oldest = max(oldest, h.node.Clock().Sub(h.node.View().Load().ConfigConfirmedAt))
+				}
+			}
+			t.Logf("%d hosts: the oldest configuration was confirmed %s before", hosts, oldest)
+			assert.Check(t, oldest < maxRelayConfigAge)
+			assert.Equal(t, len(c.close()), 0, "%v", c.errors)
+		})
+	}
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -27,9 +27,15 @@
 	// first.
 	speedUpdateInterval = 4 * time.Second
 	// configPollWait is how long one poll waits for a change of the operators'
-	// entries. It is short because a watch can stop delivering events
-	// without an error.
-	configPollWait = 900 * time.Millisecond
+	// entries, and configPollGrace how much later its answer may come. They are short
+	// because a watch can stop delivering events without an error, and because each
+	// answer confirms the entries for all hosts.
+	configPollWait  = 300 * time.Millisecond
+	configPollGrace = 250 * time.Millisecond
+	// minConfigListTimeout bounds a listing of the operators' entries, whose connection
+	// may be silent too. It doubles with each failure, for a slow store.
+	minConfigListTimeout = 400 * time.Millisecond
+	maxConfigListTimeout = 1600 * time.Millisecond
 	// hostWindow is how long after its last sync a host counts as live.
 	hostWindow = 3 * time.Second
 	// dispatcherWindow is how long after its last sync a host may be a
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/boottime"
@@ -203,6 +204,9 @@
 
 // Run follows or leads until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { n.superviseConfig(ctx) })
 	for ctx.Err() == nil {
 		if l := n.currentLeadership(); l != nil {
 			l.run(ctx)
--- a/internal/control/operatorentries.go
+++ b/internal/control/operatorentries.go
@@ -21,19 +21,22 @@
 func (l *leadership) followConfig(ctx context.Context) {
 	n := l.node
 	after, polled := int64(0), int64(0)
+	listLimit := minConfigListTimeout
 	for ctx.Err() == nil {
 		if after == 0 {
 			former := n.config()
-			if after = n.readConfig(ctx); after == 0 {
+			if after = n.readConfigWithin(ctx, listLimit); after == 0 {
+				listLimit = min(2*listLimit, maxConfigListTimeout)
 				n.sleep(ctx, storeRetryDelay)
 				continue
 			}
+			listLimit = minConfigListTimeout
 			if config := n.config(); config != nil && config != former && config.Revision <= polled {
 				n.Log.Error("control: a poll has missed a configuration", zap.Int64("version", config.Version), zap.Int64("revision", config.Revision), zap.Int64("polled", polled))
 			}
 		}
 		startedAt := n.Clock()
-		batch, err := n.Store.Poll(ctx, n.Schema.OperatorPrefix, after, configPollWait)
+		batch, err := n.pollConfig(ctx, after)
 		n.recordStoreResult(err)
 		if err != nil {
 			after = 0
@@ -52,6 +55,13 @@
 	}
 }
 
+// pollConfig waits for changes of the operators' entries after a revision.
+func (n *Node) pollConfig(ctx context.Context, after int64) (store.WatchBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, configPollWait+configPollGrace)
+	defer cancel()
+	return n.Store.Poll(ctx, n.Schema.OperatorPrefix, after, configPollWait)
+}
+
 // setEvacuations merges the evacuations that the store held at the given instant.
 func (v *View) setEvacuations(set Evacuations, at, now boottime.Instant, limit time.Duration) (before, after Evacuations) {
 	return v.updateEvacuations(at, now, limit, set.Revision, func(current Evacuations) Evacuations { return current.merge(set) })
@@ -189,7 +199,7 @@
 	if response.EvacuationsRevision <= 0 {
 		return
 	}
-	at := sentAt.Add(-clampAge(response.EvacuationsAgeMillis))
+	at := n.confirmedAt(sentAt, response.HeldMillis, response.EvacuationsAgeMillis)
 	current := n.view.Load().Evacuations
 	switch {
 	case response.HasEvacuations:
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -88,6 +88,18 @@
 	return message
 }
 
+// configResponse returns the configuration and the evacuations that a host with the given
+// versions lacks.
+func (n *Node) configResponse(known *fleetpb.Known) *fleetpb.SyncResponse {
+	snapshot := n.view.Load()
+	if snapshot.Config == nil {
+		return &fleetpb.SyncResponse{}
+	}
+	out, _ := n.updateSince(&Snapshot{Config: snapshot.Config, RawConfig: snapshot.RawConfig, ConfigConfirmedAt: snapshot.ConfigConfirmedAt,
+		Evacuations: snapshot.Evacuations, EvacuationsConfirmedAt: snapshot.EvacuationsConfirmedAt}, known)
+	return out
+}
+
 // relayResponse returns the response to a host that has found no leader: the
 // state that it lacks and the leader that this host knows. With recovery, it
 // includes assignments that this host has not published as leader.
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -24,13 +24,17 @@
 	if l != nil && known.Term > l.term {
 		l.stepDown("another host leads a later term")
 	}
-	if r.Msg.Relay {
+	switch {
+	case r.Msg.Relay && r.Msg.ConfigOnly:
+		return connect.NewResponse(n.configResponse(known)), nil
+	case r.Msg.Relay:
 		return connect.NewResponse(n.relayResponse(known, r.Msg.Recovery)), nil
 	}
 	if l == nil || l.hasEnded() {
 		return connect.NewResponse(&fleetpb.SyncResponse{}), nil
 	}
-	l.recordReport(r.Msg, n.Clock())
+	receivedAt := n.Clock()
+	l.recordReport(r.Msg, receivedAt)
 	n.markLeaving(r.Msg.Leaving)
 	n.RateLimits.Merge(r.Msg.RateLimits, r.Msg.Host)
 	wait := min(time.Duration(r.Msg.WaitMillis)*time.Millisecond, syncWait)
@@ -38,11 +42,15 @@
 	defer timer.Stop()
 	for {
 		changed := n.view.Changed()
+		// Before the ages in the response are taken, so that a pause in between makes the
+		// state look older, not newer.
+		held := n.Clock().Sub(receivedAt)
 		response, hasUpdate := l.updateFor(known)
 		if r.Msg.CutOff || r.Msg.Detours < wantedDetours {
 			response.Detours = l.detoursFor(r.Msg.Address)
 		}
 		if hasUpdate || wait <= 0 {
+			response.HeldMillis = held.Milliseconds()
 			return connect.NewResponse(response), nil
 		}
 		select {
--- a/internal/control/updates.go
+++ b/internal/control/updates.go
@@ -72,21 +72,7 @@
 	}
 	n.view.setTerm(response.Term)
 	n.applyEvacuations(response, sentAt)
-	configAt := sentAt.Add(-clampAge(response.ConfigAgeMillis))
-	if len(response.Config) > 0 {
-		config, err := n.Schema.DecodeConfig(response.Config, response.Known.Config)
-		if err != nil {
-			n.Log.Warn("control: received configuration rejected", zap.Error(err))
-		} else {
-			source := fromPeer
-			if response.Leader {
-				source = fromLeader
-			}
-			n.setConfig(config, response.Config, configAt, source)
-		}
-	} else {
-		n.view.setConfig(nil, nil, configAt)
-	}
+	n.applyConfig(response, sentAt)
 	needsFullState := !n.applyServers(response, sentAt.Add(-clampAge(response.ServersAgeMillis)))
 	for _, s := range response.Shards {
 		a, err := decodeAssignment(s, n.view.Load().Assignments[s.Service])
@@ -121,6 +107,33 @@
 	}
 }
 
+// applyConfig applies the configuration in a response.
+func (n *Node) applyConfig(response *fleetpb.SyncResponse, sentAt boottime.Instant) {
+	confirmedAt := n.confirmedAt(sentAt, response.HeldMillis, response.ConfigAgeMillis)
+	if len(response.Config) == 0 {
+		n.view.setConfig(nil, nil, confirmedAt)
+		return
+	}
+	config, err := n.Schema.DecodeConfig(response.Config, response.Known.Config)
+	if err != nil {
+		n.Log.Warn("control: received configuration rejected", zap.Error(err))
+		return
+	}
+	source := fromPeer
+	if response.Leader {
+		source = fromLeader
+	}
+	n.setConfig(config, response.Config, confirmedAt, source)
+}
+
+// confirmedAt returns a lower bound of when the store confirmed what another host has
+// sent in the response to a request. That host held the request for heldMillis and then
+// stated the age. A held time beyond the round trip is an error of its clock.
+func (n *Node) confirmedAt(sentAt boottime.Instant, heldMillis, ageMillis int64) boottime.Instant {
+	held := min(clampAge(heldMillis), max(n.Clock().Sub(sentAt), 0))
+	return sentAt.Add(held - clampAge(ageMillis))
+}
+
 // clampAge converts a reported age and limits it. A negative age counts as
 // zero; otherwise the state would never become stale.
 func clampAge(millis int64) time.Duration {
