Take a status that HTTP does not have for a broken response

A server in trouble sent an answer with status 000.

Seen here: 000, 099 and 101 were taken for interim responses, and the caller waited for the final one until its deadline; 600 to 999 reached callers as an answer. The settings-driven proxy rejected what is below 200 and passed on what is above 599.

Cause: http.ReadResponse accepts any number of three characters, also -00 and +20.

Change: a status outside 100 to 599, and a 101, which no request asks for, is a broken response: it proves nothing about what ran, and the connection is closed. The store's client, grants, health checks, detours and calls between hosts take every status but the expected ones for a failure already.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -252,6 +252,7 @@
 	errTooManyStale       = errors.New("too many responses to earlier requests")
 	errTooLong            = errors.New("the response exceeds its size limit")
 	errShortBody          = errors.New("the response body is truncated")
+	errInvalidStatus      = errors.New("the response's status is none that a request without an upgrade can have")
 )
 
 // readResponse reads the response to the request and skips late responses to
@@ -265,6 +266,9 @@
 		if err != nil {
 			return Result{Outcome: Broken, Err: err}
 		}
+		if !isValidStatus(response.StatusCode) {
+			return Result{Outcome: Broken, Err: fmt.Errorf("%w: %s", errInvalidStatus, response.Status)}
+		}
 		if response.StatusCode < 200 {
 			continue
 		}
@@ -285,6 +289,12 @@
 	return Result{Outcome: Broken, Err: errTooManyStale}
 }
 
+// isValidStatus reports whether a server may answer a request with the status. http.ReadResponse
+// accepts any three digits. A 101 would end HTTP on the connection, which no request asks for.
+func isValidStatus(status int) bool {
+	return status >= 100 && status <= 599 && status != http.StatusSwitchingProtocols
+}
+
 // classifyResponse checks the response, reads its body and sets the outcome.
 func (p *Pool) classifyResponse(c *conn, r *Request, response *http.Response) Result {
 	result := Result{Outcome: Answered, Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength}
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -189,7 +189,7 @@
 		discardBody(r)
 		a.exchange.seal()
 		return &failure{result: AttemptShed, kind: apierror.KindOverloaded, err: errors.New("shed by the overloaded server")}
-	case r.StatusCode < http.StatusOK:
+	case r.StatusCode < http.StatusOK || r.StatusCode > 599:
 		return invalidResponse("status %d cannot be forwarded", r.StatusCode)
 	case r.ContentLength < 0 && len(r.TransferEncoding) == 0 && hasBody(q.r.Method, r.StatusCode):
 		return invalidResponse("the response has neither a length nor chunked encoding, so a truncated body could not be detected")
