Do not wait for the end of a refusal

Cause: the body of a refusal was read like that of an answer, and beyond the limit of buffering the refusal became a streamed answer.

Change: a refusal's body, which nobody gets, is skipped: at most 64 KB and 100 ms, then the connection is closed instead of reused. A refusal whose body is cut or malformed stays broken, as before.

The fuzz target gets a connection that takes deadlines.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -314,6 +314,18 @@
 	}
 	c.applyKeepAlive(response)
 	rest := &boundedBody{response.Body, c.bounded}
+	misdirected := response.StatusCode == http.StatusMisdirectedRequest
+	if misdirected || response.Header.Get(p.headers.NotExecuted) != "" {
+		if err := c.skipRefusalBody(rest, r.Deadline); err != nil {
+			return Result{Outcome: Broken, Err: fmt.Errorf("%w: %w", errShortBody, err)}
+		}
+		id := response.Header.Get(p.headers.Instance)
+		result.Outcome, result.Misdirected = Refused, misdirected
+		result.OtherInstance = misdirected && id != "" && id != r.ExpectedInstance
+		c.recordRefusal(r.ID)
+		p.parseRateLimit(&result)
+		return result
+	}
 	if response.ContentLength > p.maxBufferedBytes {
 		result.RemainingBody = &streamedBody{body: rest, conn: c}
 		p.parseRateLimit(&result)
@@ -324,26 +336,45 @@
 		return Result{Outcome: Broken, Err: fmt.Errorf("%w: %w", errShortBody, err)}
 	}
 	result.Body, result.HeldBytes = body, held
-	misdirected := response.StatusCode == http.StatusMisdirectedRequest
-	refused := misdirected || response.Header.Get(p.headers.NotExecuted) != ""
-	if !complete && !(refused && int64(len(body)) <= p.maxBufferedBytes) {
+	if !complete {
 		result.RemainingBody = &streamedBody{body: rest, conn: c}
-		p.parseRateLimit(&result)
-		return result
-	}
-	// The body of a refusal is not delivered; without memory for it, it is not read.
-	c.reusable = c.reusable && complete
-	result.Misdirected = misdirected
-	id := response.Header.Get(p.headers.Instance)
-	result.OtherInstance = misdirected && id != "" && id != r.ExpectedInstance
-	if refused {
-		result.Outcome = Refused
-		c.recordRefusal(r.ID)
 	}
 	p.parseRateLimit(&result)
 	return result
 }
 
+// Limits of reading the body of a refusal, which is not delivered. It is read only so that
+// the connection can be used again.
+const (
+	maxRefusalBodyBytes = 64 << 10
+	refusalBodyTimeout  = 100 * time.Millisecond
+)
+
+// skipRefusalBody reads the body of a refusal. If it is too long or late, the connection
+// is not reused: the header is the proof, and the request need not wait for the rest.
+func (c *conn) skipRefusalBody(body io.Reader, deadline time.Time) error {
+	if err := c.SetReadDeadline(earlier(time.Now().Add(refusalBodyTimeout), deadline)); err != nil {
+		return err
+	}
+	err := discardBody(body, maxRefusalBodyBytes)
+	if err == nil {
+		return c.SetReadDeadline(deadline)
+	}
+	c.reusable = false
+	var netErr net.Error
+	if errors.Is(err, errTooLong) || errors.As(err, &netErr) && netErr.Timeout() {
+		return nil
+	}
+	return err
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // maxRetryAfter bounds for how long a server may ask a host to stay away.
 const maxRetryAfter = 5 * time.Minute
 
--- a/internal/exchange/fuzz_test.go
+++ b/internal/exchange/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"net"
 	"net/http"
 	"testing"
 )
@@ -23,7 +24,10 @@
 	f.Fuzz(func(t *testing.T, data []byte, reused bool) {
 		p := &Pool{headers: &headerNames, maxBufferedBytes: DefaultMaxBufferedBytes}
 		bounded := &boundedReader{reader: bytes.NewReader(data)}
-		c := &conn{pool: p, bounded: bounded, reader: bufio.NewReader(bounded), hasCarriedRequest: reused}
+		end, otherEnd := net.Pipe() // takes the deadlines; the bytes come from data
+		defer end.Close()
+		defer otherEnd.Close()
+		c := &conn{Conn: end, pool: p, bounded: bounded, reader: bufio.NewReader(bounded), hasCarriedRequest: reused}
 		result := p.readResponse(c, &Request{ID: "1", Method: http.MethodGet})
 		if result.Outcome == Answered && result.Status < 300 && (result.Header.Get("X-Id") != "1" || result.Header.Get("X-Signature") == "") {
 			t.Fatalf("%q was accepted as a response", data)
