Bound the responses of other hosts

A process at a host's address that sends a response without end was read into memory until the call's time limit: 139 to 541 MB in 0.25 to 1.0 s on loopback; a host has 184 to 536 MB.

Cause: connect reads a unary response whole, without a limit by default. With its own limit it keeps no more, but goes on reading and discarding until the time limit (1 to 4.5 GB in the test).

Change: responses end at 16 MiB, as requests of other hosts do already, both before and after unpacking.

--- a/internal/control/configage.go
+++ b/internal/control/configage.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
-	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
 )
 
 // Limits of the age of the operators' entries, the configuration and the evacuations,
@@ -113,7 +112,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
 	defer cancel()
 	request := &fleetpb.SyncRequest{Relay: true, ConfigOnly: true, Known: n.addVersions(&fleetpb.Known{}, n.baseServerList(false))}
-	client := fleetpbconnect.NewFleetServiceClient(n.PeerClient, "http://"+address)
+	client := n.fleetClient(address)
 	sentAt := n.Clock()
 	response, err := client.Sync(ctx, connect.NewRequest(request))
 	if err != nil {
--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -11,7 +11,6 @@
 
 	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
-	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
 	"github.com/cassiasill/cassiasill/internal/store"
 )
 
@@ -146,7 +145,7 @@
 			continue // unknownLeader
 		}
 		callCtx, cancel := context.WithTimeout(ctx, formerQueryInterval)
-		client := fleetpbconnect.NewFleetServiceClient(l.node.PeerClient, "http://"+f.Address)
+		client := l.node.fleetClient(f.Address)
 		response, err := client.Sync(callCtx, connect.NewRequest(&fleetpb.SyncRequest{Known: &fleetpb.Known{Term: l.term}}))
 		cancel()
 		if err == nil && !response.Msg.Leader {
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
-	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
 )
 
 // followOnce does one step as a follower: it syncs with the leader, or searches
@@ -108,7 +107,7 @@
 	n.Reports.drainInto(request)
 	request.Leaving = n.watchLeaving()
 	request.RateLimits = n.RateLimits.TakeUnreported(newTerm)
-	client := fleetpbconnect.NewFleetServiceClient(n.PeerClient, "http://"+leader.Address)
+	client := n.fleetClient(leader.Address)
 	sentAt := n.Clock()
 	response, err := client.Sync(ctx, connect.NewRequest(request))
 	if err == nil && !response.Msg.Leader {
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
-	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
 )
 
 // Limits of queries to hosts that do not lead.
@@ -72,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
 	defer cancel()
 	request.Known = n.addVersions(request.Known, n.baseServerList(false))
-	client := fleetpbconnect.NewFleetServiceClient(n.PeerClient, "http://"+address)
+	client := n.fleetClient(address)
 	sentAt := n.Clock()
 	response, err := client.Sync(ctx, connect.NewRequest(request))
 	if err != nil {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -10,9 +11,33 @@
 
 	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
+	"github.com/cassiasill/cassiasill/internal/control/fleetpb/fleetpbconnect"
 	"github.com/cassiasill/cassiasill/internal/routes"
 )
 
+// maxFleetMessageBytes bounds the response of another host. The largest one holds the
+// whole state, a few hundred bytes for each server and range.
+const maxFleetMessageBytes = 16 << 20
+
+// fleetClient returns a client of the host at the address, which may be another process's
+// by now, with any response. The bound of connect holds for what is unpacked; it reads
+// the rest of a longer response up to the time limit.
+func (n *Node) fleetClient(address string) fleetpbconnect.FleetServiceClient {
+	return fleetpbconnect.NewFleetServiceClient(boundedClient{n.PeerClient}, "http://"+address, connect.WithReadMaxBytes(maxFleetMessageBytes))
+}
+
+// boundedClient is a client whose responses fail beyond maxFleetMessageBytes.
+type boundedClient struct{ client *http.Client }
+
+// Do sends the request.
+func (b boundedClient) Do(r *http.Request) (*http.Response, error) {
+	response, err := b.client.Do(r)
+	if err == nil {
+		response.Body = http.MaxBytesReader(nil, response.Body, maxFleetMessageBytes)
+	}
+	return response, err
+}
+
 // Sync implements fleetpbconnect.FleetServiceHandler.
 func (n *Node) Sync(ctx context.Context, r *connect.Request[fleetpb.SyncRequest]) (*connect.Response[fleetpb.SyncResponse], error) {
 	known := r.Msg.Known
