Bound the responses of stores and health checks of the settings-driven host

`cassiasill serve` decoded the responses of its store, the messages of its watches and the health of servers from the stream without a limit. A watch has no time limit, so a message without end grew until memory was used up: the test ended with "out of memory" at 2 GB under a limit of 6 GB; a health check read 119 MB in its 0.5 s.

Change: 32 MiB for a response of the store and for each message of a watch, 64 KiB for the body of a health check, and 64 KiB for heads (10 MiB by default). On the platform's way responses of the store end at 8 MiB already, those to grants at 64 KiB, and frames of the dispatcher at 1 MiB.

--- a/internal/host/health.go
+++ b/internal/host/health.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -29,6 +30,8 @@
 	// new requests.
 	healthInterval = 700 * time.Millisecond
 	healthTimeout  = 500 * time.Millisecond
+	// maxHealthBytes bounds the body of a response, which is a few numbers.
+	maxHealthBytes = 64 << 10
 	// healthRefresh is how often an unchanged report is published again for
 	// hosts that missed it.
 	healthRefresh = time.Minute
@@ -154,7 +157,7 @@
 	}
 	defer response.Body.Close()
 	var health serverHealth
-	err = json.NewDecoder(response.Body).Decode(&health)
+	err = json.NewDecoder(io.LimitReader(response.Body, maxHealthBytes)).Decode(&health)
 	return health, err
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -142,9 +142,10 @@
 // transport returns an HTTP transport over the host's network.
 func (h *Host) transport() *http.Transport {
 	return &http.Transport{
-		DialContext:         h.options.Network.Dial,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            h.options.Network.Dial,
+		MaxIdleConnsPerHost:    4,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: 64 << 10,
 	}
 }
 
--- a/internal/store/gateway/gateway.go
+++ b/internal/store/gateway/gateway.go
@@ -193,7 +193,8 @@
 		return failure
 	}
 	defer drainAndClose(httpResponse.Body)
-	if err := json.NewDecoder(httpResponse.Body).Decode(response); err != nil {
+	bounded := http.MaxBytesReader(nil, httpResponse.Body, maxResponseBytes)
+	if err := json.NewDecoder(bounded).Decode(response); err != nil {
 		return op.outcomeUnknown(err)
 	}
 	return nil
@@ -227,6 +228,10 @@
 	return nil, op.errorFrom(errorResponse)
 }
 
+// maxResponseBytes bounds a response, and each message of a watch: all keys with a prefix,
+// or all changes of one revision.
+const maxResponseBytes = 32 << 20
+
 // drainAndClose reads the rest of a short body so that the connection can be
 // reused, and closes the body.
 func drainAndClose(body io.ReadCloser) {
--- a/internal/store/gateway/watch.go
+++ b/internal/store/gateway/watch.go
@@ -46,8 +46,10 @@
 		return failure
 	}
 	defer func() { _ = stream.Close() }()
-	for decoder := json.NewDecoder(stream); ; {
+	bounded := &boundedStream{reader: stream}
+	for decoder := json.NewDecoder(bounded); ; {
 		var message etcdjson.WatchResponse
+		bounded.remaining = maxResponseBytes
 		if err := decoder.Decode(&message); err != nil {
 			return op.unavailable(err)
 		}
@@ -111,3 +113,21 @@
 	}
 	return batch, nil
 }
+
+var errMessageTooLong = errors.New("the message of the watch exceeds its size limit")
+
+// boundedStream is a stream of messages. It fails if a message has more bytes than remain.
+type boundedStream struct {
+	reader    io.Reader
+	remaining int64
+}
+
+// Read reads at most the remaining bytes.
+func (b *boundedStream) Read(p []byte) (int, error) {
+	if b.remaining <= 0 {
+		return 0, errMessageTooLong
+	}
+	n, err := b.reader.Read(p[:min(int64(len(p)), b.remaining)])
+	b.remaining -= int64(n)
+	return n, err
+}
