Ask one relay for the operators' entries before three

While the leader reaches hosts and not the store, each other host asked three relays about once a second. Now it asks one for up to 100 ms, and three more if that one has nothing fresh.

--- a/internal/control/configage.go
+++ b/internal/control/configage.go
@@ -25,8 +25,10 @@
 	maxConfigAge = maxRelayConfigAge + 150*time.Millisecond
 	// configReadTimeout bounds the reading by a relay, which otherwise asks the others.
 	configReadTimeout = 300 * time.Millisecond
-	// configPeers is how many relays are asked at the same time.
-	configPeers = 3
+	// firstConfigPeerTimeout is how long one relay is asked alone, and configPeers how many
+	// are asked then at the same time.
+	firstConfigPeerTimeout = 100 * time.Millisecond
+	configPeers            = 3
 	// minConfigRetryDelay is the delay after a first attempt that has brought nothing
 	// newer. It doubles with each further one up to maxConfigRetryDelay.
 	minConfigRetryDelay = 150 * time.Millisecond
@@ -77,20 +79,26 @@
 	}
 }
 
-// queryConfig asks some relays for their operators' entries at the same time, and reports
-// whether any has answered.
+// queryConfig asks a relay for its operators' entries, and some others at the same time if
+// that one has none that are fresh. It reports whether any has answered.
 func (n *Node) queryConfig(ctx context.Context) bool {
 	relays := n.relaysToQuery()
+	if len(relays) == 0 {
+		return false
+	}
 	rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
+	answered := n.requestConfig(ctx, relays[0], firstConfigPeerTimeout)
+	if answered && n.Clock().Sub(n.view.Load().ConfigConfirmedAt) < maxRelayConfigAge {
+		return true
+	}
+	others := relays[1:min(len(relays), configPeers+1)]
 	answers := make(chan bool, configPeers)
-	asked := relays[:min(len(relays), configPeers)]
 	var group conc.WaitGroup
-	for _, address := range asked {
-		group.Go(func() { answers <- n.requestConfig(ctx, address) })
+	for _, address := range others {
+		group.Go(func() { answers <- n.requestConfig(ctx, address, peerQueryTimeout) })
 	}
 	group.Wait()
-	answered := false
-	for range asked {
+	for range others {
 		answered = <-answers || answered
 	}
 	return answered
@@ -107,9 +115,9 @@
 }
 
 // requestConfig requests the operators' entries from another host and applies those that
-// are newer. It returns false if that host does not answer.
-func (n *Node) requestConfig(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
+// are newer. It returns false if that host does not answer within the limit.
+func (n *Node) requestConfig(ctx context.Context, address string, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	request := &fleetpb.SyncRequest{Relay: true, ConfigOnly: true, Known: n.addVersions(&fleetpb.Known{}, n.baseServerList(false))}
 	client := n.fleetClient(address)
--- a/internal/control/endless_test.go
+++ b/internal/control/endless_test.go
@@ -23,7 +23,7 @@
 			_ = n.syncWith(ctx, leaderRecord{Address: address})
 		},
 		"query":     func(ctx context.Context, n *Node, address string) { n.queryPeer(ctx, address) },
-		"operators": func(ctx context.Context, n *Node, address string) { n.requestConfig(ctx, address) },
+		"operators": func(ctx context.Context, n *Node, address string) { n.requestConfig(ctx, address, peerQueryTimeout) },
 		"recovery": func(ctx context.Context, n *Node, address string) {
 			n.requestState(ctx, address, &fleetpb.SyncRequest{Relay: true, Recovery: true, Known: &fleetpb.Known{}})
 		},
