Count only the servers that stay when a cut is judged

With two or fewer servers beside leaving ones, a host that was cut off from all of them never took itself for cut off: it needed failures at min(3, listed servers) while failures at leaving ones do not count, so its callers waited instead of going by way of other hosts. The other way round, failures at servers that left since counted on.

The number follows from the addresses that count; SetServers goes, and the test that called it sets one address instead, which asks the same of the Tracker.

TestTrackerCountsServersThatStay failed before.

--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -54,11 +54,25 @@
 	assert.Assert(t, !tracker.MayMislead(at.Add(4*time.Second)))
 
 	small := NewTracker()
-	small.SetServers(1)
+	small.SetAddresses(map[string]bool{"only": true})
 	small.RecordFailure("only", at)
 	assert.Assert(t, small.IsCut())
 }
 
+// Guards against a cut that is not noticed because leaving servers count as reachable ones,
+// and against one that is noticed because servers failed that have left since.
+func TestTrackerCountsServersThatStay(t *testing.T) {
+	tracker := NewTracker()
+	tracker.SetAddresses(map[string]bool{"a": true, "b": true, "c": true, "d": true})
+	tracker.RecordFailure("a", at)
+	tracker.RecordFailure("b", at)
+	tracker.SetAddresses(map[string]bool{"c": true, "d": true})
+	tracker.RecordFailure("c", at)
+	assert.Assert(t, !tracker.IsCut())
+	tracker.RecordFailure("d", at)
+	assert.Assert(t, tracker.IsCut())
+}
+
 // Guards against more or less than one report of each change.
 func TestTrackerReportsEachChangeOnce(t *testing.T) {
 	tracker := NewTracker()
--- a/internal/detour/tracker.go
+++ b/internal/detour/tracker.go
@@ -1,6 +1,7 @@
 package detour
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -20,8 +21,7 @@
 	mu       sync.Mutex
 	onChange func(cut bool, failed int) // never nil
 	// failed holds the servers that could not be reached since the last success.
-	failed  map[string]time.Time
-	servers int // known servers; 0 if unknown
+	failed map[string]time.Time
 	// addresses are those of the listed servers that are not leaving; nil if unknown.
 	addresses map[string]bool
 	cutSince  time.Time
@@ -41,13 +41,6 @@
 	t.onChange = f
 }
 
-// SetServers sets how many servers there are.
-func (t *Tracker) SetServers(count int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.servers = count
-}
-
 // SetAddresses sets the addresses of the listed servers that are not leaving. Failures at
 // others do not count: a leader that releases the ranges of many ended servers fails to
 // connect to one after the other, and must not take itself for cut off and resign.
@@ -55,6 +48,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.addresses = addresses
+	maps.DeleteFunc(t.failed, func(address string, _ time.Time) bool { return !addresses[address] })
 }
 
 // RecordSuccess records that a connection to a server was opened.
@@ -84,8 +78,8 @@
 		t.failed[server] = now
 	}
 	required := minFailedServers
-	if t.servers > 0 {
-		required = min(required, t.servers)
+	if t.addresses != nil {
+		required = min(required, len(t.addresses))
 	}
 	failed := len(t.failed)
 	began := t.cutSince.IsZero() && failed >= required
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -211,7 +211,6 @@
 			addresses[server.Address] = true
 		}
 	}
-	s.options.Reach.SetServers(len(list.Servers))
 	s.options.Reach.SetAddresses(addresses)
 }
 
