Learn of servers in time when the leader and relays are lost

- A host that is no relay asked relays for 4 s before it searched the store, also if none of them answered.
It now does so after 0.8 s without any answer.

--- a/internal/control/configtime_test.go
+++ b/internal/control/configtime_test.go
@@ -176,10 +176,9 @@
 	return nil, r.Context().Err()
 }
 
-// configTime returns how long after its write a configuration is in force at the last of
-// the hosts that the fault leaves in touch, and that host. The fault begins right before
-// the write.
-func configTime(t *testing.T, hosts int, startDelay time.Duration, fault func(c *cluster, f *silences, leader string, third []string) (outOfTouch []string)) (last time.Duration, host string) {
+// newsTime returns how long after its write an entry is known at the last of the hosts
+// that the fault leaves in touch, and that host. The fault begins right before the write.
+func newsTime(t *testing.T, hosts int, startDelay time.Duration, fault beginFault, write func(*cluster), knows func(*Snapshot) bool) (last time.Duration, host string) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newSilences()
 		c := newCluster(t, hosts, 6, 1, func(n *Node) {
@@ -207,12 +206,12 @@
 		}
 		assert.Assert(t, len(waiting) >= hosts/2)
 		time.Sleep(time.Millisecond)
-		c.putEntry("operator/config", "2")
+		write(c)
 		writtenAt := time.Now()
 		for len(waiting) > 0 && time.Since(writtenAt) < 10*time.Second {
 			time.Sleep(10 * time.Millisecond)
 			for name, node := range waiting {
-				if node.config().Version == 2 {
+				if knows(node.View().Load()) {
 					delete(waiting, name)
 					last, host = time.Since(writtenAt), name
 				}
@@ -226,11 +225,14 @@
 	return last, host
 }
 
-// configFaults are faults right before a configuration is written. Each returns the hosts
-// that need not have it in time.
-var configFaults = []struct {
+// beginFault begins a fault and returns the hosts that need not know in time. A third of
+// the hosts other than the leader is named to it.
+type beginFault func(c *cluster, f *silences, leader string, third []string) (outOfTouch []string)
+
+// newsFaults are faults right before an entry is written.
+var newsFaults = []struct {
 	name  string
-	begin func(c *cluster, f *silences, leader string, third []string) (outOfTouch []string)
+	begin beginFault
 }{
 	{"none", func(*cluster, *silences, string, []string) []string { return nil }},
 	{"poll of the operators' entries silent", func(_ *cluster, f *silences, leader string, _ []string) []string {
@@ -291,19 +293,18 @@
 	}},
 }
 
-// Guards against hosts that go by an older configuration for longer than operators allow
-// after a newer one was acknowledged, whoever has failed meanwhile.
-func TestConfigurationIsInForceInTime(t *testing.T) {
+// requireNewsInTime checks with each fault when an entry is known at all hosts in touch.
+func requireNewsInTime(t *testing.T, write func(*cluster), knows func(*Snapshot) bool) {
 	// The deployments allow 2 s up to 12 hosts, and 2.5 s above.
 	for _, size := range []struct {
 		hosts int
 		limit time.Duration
 	}{{12, 2 * time.Second}, {59, 2500 * time.Millisecond}} {
-		for _, fault := range configFaults {
+		for _, fault := range newsFaults {
 			t.Run(fmt.Sprintf("%d hosts/%s", size.hosts, fault.name), func(t *testing.T) {
 				for startDelay := time.Duration(0); startDelay < time.Second; startDelay += 170 * time.Millisecond {
-					last, host := configTime(t, size.hosts, startDelay, fault.begin)
-					t.Logf("start delay %s: in force at the last host, %s, after %s", startDelay, host, last)
+					last, host := newsTime(t, size.hosts, startDelay, fault.begin, write, knows)
+					t.Logf("start delay %s: known at the last host, %s, after %s", startDelay, host, last)
 					assert.Check(t, last <= size.limit)
 				}
 			})
@@ -311,6 +312,24 @@
 	}
 }
 
+// Guards against hosts that go by an older configuration for longer than operators allow
+// after a newer one was acknowledged, whoever has failed meanwhile.
+func TestConfigurationIsInForceInTime(t *testing.T) {
+	requireNewsInTime(t, func(c *cluster) { c.putEntry("operator/config", "2") }, func(s *Snapshot) bool { return s.Config.Version == 2 })
+}
+
+// Guards against hosts that do not learn of a server's entry within the time in which
+// requests may still reach a server that leaves.
+func TestServersAreKnownInTime(t *testing.T) {
+	requireNewsInTime(t, func(c *cluster) {
+		c.startServer("s77")
+		c.putEntry("servers/s77", `{"service":"svc","address":"addr-s77","born":99}`)
+	}, func(s *Snapshot) bool {
+		_, known := s.Servers.Servers["s77"]
+		return known
+	})
+}
+
 // Guards against hosts that look for a newer configuration although the leader is well:
 // their calls would grow with the deployment.
 func TestConfigurationStaysFreshWithoutFaults(t *testing.T) {
--- a/internal/control/search.go
+++ b/internal/control/search.go
@@ -73,7 +73,9 @@
 
 // maySearchStoreLocked is maySearchStore for callers that hold mu.
 func (n *Node) maySearchStoreLocked() bool {
-	return len(n.relays) == 0 || slices.Contains(n.relays, n.Address) || n.Clock().Sub(n.leaderLostAt) > relaySearchTimeout
+	searched := n.Clock().Sub(n.leaderLostAt)
+	relaysAreSilent := searched > silentRelaysTimeout && n.relayAnsweredAt < n.leaderLostAt
+	return len(n.relays) == 0 || slices.Contains(n.relays, n.Address) || relaysAreSilent || searched > relaySearchTimeout
 }
 
 // knowsLeader reports whether a leader is known that has not been found
