--- a/internal/control/configage.go
+++ b/internal/control/configage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -83,7 +84,7 @@
 	if len(relays) == 0 {
 		return false
 	}
-	n.shuffleForQuery(relays)
+	rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
 	answered := n.requestConfig(ctx, relays[0], firstConfigPeerTimeout)
 	if answered && n.Clock().Sub(n.view.Load().ConfigConfirmedAt) < maxRelayConfigAge {
 		return true
@@ -121,7 +122,6 @@
 	client := n.fleetClient(address)
 	sentAt := n.Clock()
 	response, err := client.Sync(ctx, connect.NewRequest(request))
-	n.recordAnswer(address, err == nil)
 	if err != nil {
 		n.Log.Debug("control: relay does not answer", zap.String("peer", address), zap.Error(err))
 		return false
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,7 +9,6 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
-	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
 )
 
@@ -28,19 +26,15 @@
 	n.mu.Lock()
 	relays, seeds := slices.Clone(n.relays), slices.Clone(n.Seeds)
 	n.mu.Unlock()
-	if n.queryHosts(ctx, relays, maxQueriedPeers) {
-		n.mu.Lock()
-		n.relayAnsweredAt = n.Clock()
-		n.mu.Unlock()
-		return
+	if !n.queryHosts(ctx, relays, maxQueriedPeers) {
+		n.queryHosts(ctx, seeds, maxQueriedPeers)
 	}
-	n.queryHosts(ctx, seeds, maxQueriedPeers)
 }
 
-// queryHosts queries up to count of the hosts, in random order but those last that have
-// not responded lately, and reports whether any has responded.
+// queryHosts queries up to count of the hosts, in random order, and reports
+// whether any has responded.
 func (n *Node) queryHosts(ctx context.Context, addresses []string, count int) bool {
-	n.shuffleForQuery(addresses)
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	responded := false
 	for _, address := range addresses {
 		if address == n.Address {
@@ -55,39 +49,6 @@
 	return responded
 }
 
-// shuffleForQuery puts addresses of hosts in a random order, but last those that have not
-// answered a query lately.
-func (n *Node) shuffleForQuery(addresses []string) {
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.Clock()
-	maps.DeleteFunc(n.silentSince, func(_ string, since boottime.Instant) bool { return now.Sub(since) > relayAvoidance })
-	slices.SortStableFunc(addresses, func(a, b string) int {
-		_, aSilent := n.silentSince[a]
-		_, bSilent := n.silentSince[b]
-		switch {
-		case aSilent == bSilent:
-			return 0
-		case bSilent:
-			return -1
-		default:
-			return 1
-		}
-	})
-}
-
-// recordAnswer records whether a host has answered a query.
-func (n *Node) recordAnswer(address string, answered bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if answered {
-		delete(n.silentSince, address)
-		return
-	}
-	n.silentSince[address] = n.Clock()
-}
-
 // queryPeer queries one host, applies the state that it returns and records the
 // leader that it knows. It reports whether the host has responded.
 func (n *Node) queryPeer(ctx context.Context, address string) bool {
@@ -113,7 +74,6 @@
 	client := n.fleetClient(address)
 	sentAt := n.Clock()
 	response, err := client.Sync(ctx, connect.NewRequest(request))
-	n.recordAnswer(address, err == nil)
 	if err != nil {
 		n.Log.Debug("control: peer does not answer", zap.String("peer", address), zap.Error(err))
 		return nil
--- a/internal/control/search.go
+++ b/internal/control/search.go
@@ -73,9 +73,7 @@
 
 // maySearchStoreLocked is maySearchStore for callers that hold mu.
 func (n *Node) maySearchStoreLocked() bool {
-	searched := n.Clock().Sub(n.leaderLostAt)
-	relaysAreSilent := searched > silentRelaysTimeout && n.relayAnsweredAt < n.leaderLostAt
-	return len(n.relays) == 0 || slices.Contains(n.relays, n.Address) || relaysAreSilent || searched > relaySearchTimeout
+	return len(n.relays) == 0 || slices.Contains(n.relays, n.Address) || n.Clock().Sub(n.leaderLostAt) > relaySearchTimeout
 }
 
 // knowsLeader reports whether a leader is known that has not been found
