Name the host that reads the configuration itself in one place

On reading the change once more: the condition stood twice, comments said time limit for timeout, and one named a type wrongly. Behaviour is unchanged.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -38,7 +38,7 @@
 	return revision
 }
 
-// readConfigWithin is readConfig with a time limit.
+// readConfigWithin is readConfig with a timeout.
 func (n *Node) readConfigWithin(ctx context.Context, limit time.Duration) int64 {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/internal/control/configage.go
+++ b/internal/control/configage.go
@@ -58,9 +58,13 @@
 	}
 }
 
+// readsConfig reports whether this host reads the operators' entries before it asks
+// relays for them. A leader polls them already.
+func (n *Node) readsConfig() bool { return n.isRelay() && !n.Leading() }
+
 // configAgeLimit returns the age above which this host looks for a newer configuration.
 func (n *Node) configAgeLimit() time.Duration {
-	if n.isRelay() && !n.Leading() {
+	if n.readsConfig() {
 		return maxRelayConfigAge
 	}
 	return maxConfigAge
@@ -69,7 +73,7 @@
 // refreshConfig reads the operators' entries, if this host is a relay, and otherwise asks
 // relays. If none of them answers, it reads too, unless it leads and polls already.
 func (n *Node) refreshConfig(ctx context.Context) {
-	if n.isRelay() && !n.Leading() && n.readConfigWithin(ctx, configReadTimeout) != 0 {
+	if n.readsConfig() && n.readConfigWithin(ctx, configReadTimeout) != 0 {
 		return
 	}
 	if !n.queryConfig(ctx) && !n.Leading() {
--- a/internal/control/configtime_test.go
+++ b/internal/control/configtime_test.go
@@ -16,7 +16,7 @@
 	"github.com/cassiasill/cassiasill/internal/store"
 )
 
-// storeTimeout is the default time limit of a call to the store.
+// storeTimeout is the default timeout of a call to the store.
 const storeTimeout = time.Second
 
 // silences are the calls that get no answer.
@@ -88,7 +88,7 @@
 }
 
 // silenceableStore is a host's store. A call whose answer is silenced, also while it is
-// on its way, fails at its time limit.
+// on its way, fails at its timeout.
 type silenceableStore struct {
 	Store
 	host     string
@@ -110,7 +110,7 @@
 
 func (s *silenceableStore) silent() bool { return s.silences.silentStore(s.host) }
 
-// listing is what Range returns, and found what Get returns.
+// listing is what Range returns, and foundKey what Get returns.
 type (
 	listing struct {
 		items    []store.KeyValue
--- a/internal/control/endless_test.go
+++ b/internal/control/endless_test.go
@@ -16,7 +16,7 @@
 )
 
 // Guards against a response of another host without end, which was kept in memory until
-// the call's time limit.
+// the call's timeout.
 func TestEndlessResponsesOfHostsAreBounded(t *testing.T) {
 	calls := map[string]func(context.Context, *Node, string){
 		"sync": func(ctx context.Context, n *Node, address string) {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -21,7 +21,7 @@
 
 // fleetClient returns a client of the host at the address, which may be another process's
 // by now, with any response. The bound of connect holds for what is unpacked; it reads
-// the rest of a longer response up to the time limit.
+// the rest of a longer response until the timeout.
 func (n *Node) fleetClient(address string) fleetpbconnect.FleetServiceClient {
 	return fleetpbconnect.NewFleetServiceClient(boundedClient{n.PeerClient}, "http://"+address, connect.WithReadMaxBytes(maxFleetMessageBytes))
 }
