Use one bounded reader for responses of servers and messages of watches

On reading the change once more: the bound of a watch's messages repeated the reader of the exchange. Both are bounded.Reader now, with the error that each had. Behaviour is unchanged; the fuzz target builds the same reader.

--- a/internal/exchange/bounded.go
+++ b/internal/exchange/bounded.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+
+	"github.com/cassiasill/cassiasill/internal/bounded"
 )
 
 // discardBody reads and discards a body of at most maxBytes. A longer body is an
@@ -22,12 +24,12 @@
 // addition to the body's own: chunk headers and trailers may be endless.
 type boundedBody struct {
 	body   io.Reader
-	reader *boundedReader
+	reader *bounded.Reader
 }
 
 // Read reads the next part of the body.
 func (b *boundedBody) Read(p []byte) (int, error) {
-	b.reader.remaining = int64(len(p)) + MaxHeaderBytes
+	b.reader.Remaining = int64(len(p)) + MaxHeaderBytes
 	return b.body.Read(p)
 }
 
@@ -50,20 +52,3 @@
 	s.conn.discard()
 	return nil
 }
-
-// boundedReader returns an error after a number of bytes. An io.LimitedReader
-// returns io.EOF instead, which looks like the end of a body.
-type boundedReader struct {
-	reader    io.Reader
-	remaining int64
-}
-
-// Read reads at most the remaining number of bytes.
-func (b *boundedReader) Read(p []byte) (int, error) {
-	if b.remaining <= 0 {
-		return 0, errTooLong
-	}
-	n, err := b.reader.Read(p[:min(int64(len(p)), b.remaining)])
-	b.remaining -= int64(n)
-	return n, err
-}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -8,13 +8,15 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/cassiasill/cassiasill/internal/bounded"
 )
 
 // conn is one connection to a server.
 type conn struct {
 	net.Conn
 	pool              *Pool
-	bounded           *boundedReader
+	bounded           *bounded.Reader
 	reader            *bufio.Reader // reads from bounded
 	hasCarriedRequest bool
 	bodyBroken        atomic.Bool // the body of the current request could not be read to its end
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -261,7 +261,7 @@
 	reused := c.hasCarriedRequest
 	c.hasCarriedRequest = true
 	for range maxStaleResponses {
-		c.bounded.remaining = MaxHeaderBytes
+		c.bounded.Remaining = MaxHeaderBytes
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return Result{Outcome: Broken, Err: err}
--- a/internal/exchange/fuzz_test.go
+++ b/internal/exchange/fuzz_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"testing"
+
+	"github.com/cassiasill/cassiasill/internal/bounded"
 )
 
 // FuzzResponse guards against bytes from a server that crash the host, or that are
@@ -23,11 +25,11 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte, reused bool) {
 		p := &Pool{headers: &headerNames, maxBufferedBytes: DefaultMaxBufferedBytes}
-		bounded := &boundedReader{reader: bytes.NewReader(data)}
+		source := &bounded.Reader{Source: bytes.NewReader(data), Err: errTooLong}
 		end, otherEnd := net.Pipe() // takes the deadlines; the bytes come from data
 		defer end.Close()
 		defer otherEnd.Close()
-		c := &conn{Conn: end, pool: p, bounded: bounded, reader: bufio.NewReader(bounded), hasCarriedRequest: reused}
+		c := &conn{Conn: end, pool: p, bounded: source, reader: bufio.NewReader(source), hasCarriedRequest: reused}
 		result := p.readResponse(c, &Request{ID: "1", Method: http.MethodGet})
 		if result.Outcome == Answered && result.Status < 300 && (result.Header.Get("X-Id") != "1" || result.Header.Get("X-Signature") == "") {
 			t.Fatalf("%q was accepted as a response", data)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -12,6 +12,8 @@
 
 	"github.com/sourcegraph/conc"
 	"golang.org/x/sys/unix"
+
+	"github.com/cassiasill/cassiasill/internal/bounded"
 )
 
 // Limits of connections to servers.
@@ -125,8 +127,8 @@
 		return nil, err
 	}
 	p.onConnectionOpened()
-	bounded := &boundedReader{reader: raw}
-	return &conn{Conn: raw, pool: p, bounded: bounded, reader: bufio.NewReaderSize(bounded, 4096), idleSince: now, idleTimeout: defaultIdleTimeout}, nil
+	source := &bounded.Reader{Source: raw, Err: errTooLong}
+	return &conn{Conn: raw, pool: p, bounded: source, reader: bufio.NewReaderSize(source, 4096), idleSince: now, idleTimeout: defaultIdleTimeout}, nil
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil.
--- a/internal/store/gateway/watch.go
+++ b/internal/store/gateway/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/cassiasill/cassiasill/internal/bounded"
 	"github.com/cassiasill/cassiasill/internal/store"
 	"github.com/cassiasill/cassiasill/internal/store/gateway/etcdjson"
 )
@@ -46,10 +47,10 @@
 		return failure
 	}
 	defer func() { _ = stream.Close() }()
-	bounded := &boundedStream{reader: stream}
-	for decoder := json.NewDecoder(bounded); ; {
+	source := &bounded.Reader{Source: stream, Err: errMessageTooLong}
+	for decoder := json.NewDecoder(source); ; {
 		var message etcdjson.WatchResponse
-		bounded.remaining = maxResponseBytes
+		source.Remaining = maxResponseBytes
 		if err := decoder.Decode(&message); err != nil {
 			return op.unavailable(err)
 		}
@@ -115,19 +116,3 @@
 }
 
 var errMessageTooLong = errors.New("the message of the watch exceeds its size limit")
-
-// boundedStream is a stream of messages. It fails if a message has more bytes than remain.
-type boundedStream struct {
-	reader    io.Reader
-	remaining int64
-}
-
-// Read reads at most the remaining bytes.
-func (b *boundedStream) Read(p []byte) (int, error) {
-	if b.remaining <= 0 {
-		return 0, errMessageTooLong
-	}
-	n, err := b.reader.Read(p[:min(int64(len(p)), b.remaining)])
-	b.remaining -= int64(n)
-	return n, err
-}
