--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -32,6 +32,7 @@
 
 var cases = map[string]func(*run) error{
 	"memory": runMemory,
+	"stop":   runStop,
 }
 
 func main() { os.Exit(runCase()) }
