--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -31,6 +31,7 @@
 }
 
 var cases = map[string]func(*run) error{
+	"behind": runBehind,
 	"memory": runMemory,
 	"stop":   runStop,
 }
