review: case 9, a ready host takes no channels while clients read slowly

Rule: RECOVER, a machine that says it is ready takes no new channel for contact_s. Disruption: 360 clients that read ordinary downloads at 48 KiB/s.

At callers.maxConnections the host closes each new connection at once unless another one waits for a request or makes no progress. Its readiness stays 200.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -31,9 +31,10 @@
 }
 
 var cases = map[string]func(*run) error{
-	"behind": runBehind,
-	"memory": runMemory,
-	"stop":   runStop,
+	"behind":   runBehind,
+	"channels": runChannels,
+	"memory":   runMemory,
+	"stop":     runStop,
 }
 
 func main() { os.Exit(runCase()) }
