--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -34,6 +34,7 @@
 	"behind":   runBehind,
 	"channels": runChannels,
 	"memory":   runMemory,
+	"options":  runOptions,
 	"stop":     runStop,
 }
 
