review: case 8, a planned stop closes channels of requests that wait

Rule: LOST, around planned work. Disruption: SIGTERM of the host, while requests on kept connections wait in the queue of their service.

A request that is read less than 3 s after the SIGTERM is accepted whatever its deadline. 5.65 s after the SIGTERM the host closes the connections of those that still wait for a server, without an answer, although it knows that they were sent nowhere.

Case 10, OPTIONS *, gives way.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
@@ -34,7 +35,7 @@
 	"behind":   runBehind,
 	"channels": runChannels,
 	"memory":   runMemory,
-	"options":  runOptions,
+	"queue":    runQueue,
 	"stop":     runStop,
 }
 
@@ -103,6 +104,7 @@
 type route struct {
 	name, prefix, kind, service string
 	timeout                     float64
+	target                      float64 // 0: half of timeout
 }
 
 // configure writes the desired state.
@@ -117,7 +119,7 @@
 	}
 	var paths []any
 	for _, x := range routes {
-		paths = append(paths, map[string]any{"name": x.name, "prefix": x.prefix, "route_type": x.kind, "timeout_s": x.timeout, "target_latency_s": x.timeout / 2,
+		paths = append(paths, map[string]any{"name": x.name, "prefix": x.prefix, "route_type": x.kind, "timeout_s": x.timeout, "target_latency_s": cmp.Or(x.target, x.timeout/2),
 			"priority": 1, "attempts": 2, "service": x.service})
 	}
 	return r.store.put("op/config", map[string]any{"version": version, "services": list,
