--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -32,11 +32,10 @@
 }
 
 var cases = map[string]func(*run) error{
-	"behind":   runBehind,
-	"channels": runChannels,
-	"memory":   runMemory,
-	"queue":    runQueue,
-	"stop":     runStop,
+	"behind": runBehind,
+	"memory": runMemory,
+	"queue":  runQueue,
+	"stop":   runStop,
 }
 
 func main() { os.Exit(runCase()) }
