Report a reset to the reader of a response also if the writer met it first

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The part reached the caller as a complete, signed answer.

Cause: a body without a length ends with its connection. The request is written while the response is read, on one socket, and the kernel reports the error of a socket once, to whichever call comes next. If that is the write, the read behind it returns 0, which net reports as io.EOF, as after a regular end. So the end of such a body was unproven whenever a request was still being written. A host that relays the connection of another one had the same fault and stated the regular end to that host.

Change: network.ReportResets wraps a TCP connection. It remembers the error that a Write was told, and Read returns that error in place of io.EOF. EPIPE is no such error: a Read was told of the connection's own, or the server had ended its bytes regularly before it reset the connection, which completes a body. If a Write is in progress, Read waits for it only once the connection is known to be closed, so that a server may end its answer and read on. exchange.Dial wraps each connection, which covers requests, relays, the store, other hosts, grants and releases; what set SO_LINGER on *net.TCPConn does so on the wrapper.

Why it works: a connection that was reset without a regular end has told its error to a Write or a Read. A Read that was told fails; one that was not finds the error with the Write, which returns at once on a closed connection.

Not changed: the settings-driven host rejects every response with neither a length nor chunks, and its other clients read JSON, of which a part is invalid.

--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -153,7 +153,7 @@
 // setLinger sets how a connection ends when it is closed: with a reset if seconds is 0,
 // and regularly if it is negative.
 func setLinger(c net.Conn, seconds int) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(seconds) // fails only on a closed connection
+	if l, ok := c.(interface{ SetLinger(int) error }); ok {
+		_ = l.SetLinger(seconds) // fails only on a closed connection
 	}
 }
--- /dev/null
+++ b/internal/detour/upload_test.go
@@ -0,0 +1,78 @@
+package detour
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cassiasill/cassiasill/internal/exchange"
+)
+
+// Guards against a part of a body that a peer states to be whole because the server reset
+// the connection while the peer was writing the request to it.
+func TestResetDuringUploadPassesThePeer(t *testing.T) {
+	peer := httptest.NewServer(NewServer(NewTracker(), exchange.Dial, func(string) bool { return true }, func() {}, zap.NewNop()))
+	defer peer.Close()
+	for _, reset := range []bool{true, false} {
+		server := serveEarly(t, reset)
+		dialer := dialerBy(strings.TrimPrefix(peer.URL, "http://"))
+		var background conc.WaitGroup
+		pool := exchange.NewPool(server, &testHeaders, dialer.Dial, &background, nil)
+		for i := range 50 {
+			result := pool.Do(context.Background(), &exchange.Request{ID: "1", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {"1"}},
+				RemainingBody: bytes.NewReader(make([]byte, 16<<20)), ContentLength: 16 << 20, Deadline: time.Now().Add(5 * time.Second), ExpectedInstance: "server-1"})
+			if reset {
+				assert.Equal(t, result.Outcome, exchange.Broken, "try %d: %d bytes", i, len(result.Body))
+				continue
+			}
+			assert.Equal(t, result.Outcome, exchange.Answered, "try %d: %v", i, result.Err)
+			assert.Equal(t, string(result.Body), wholeBody)
+		}
+		pool.Close()
+		background.Wait()
+		dialer.Wait()
+	}
+}
+
+// serveEarly starts a server that answers without a length while the request is being
+// written, and then resets the connection or ends it regularly. It returns its address.
+func serveEarly(t *testing.T, reset bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var group conc.WaitGroup
+	group.Go(func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() {
+				defer c.Close()
+				_, _ = io.CopyN(io.Discard, c, 1<<20)
+				_, _ = io.WriteString(c, unframedHead+wholeBody)
+				if reset {
+					_ = c.(*net.TCPConn).SetLinger(0)
+					return
+				}
+				_ = c.(*net.TCPConn).CloseWrite()
+				_, _ = io.Copy(io.Discard, c)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		group.Wait()
+	})
+	return listener.Addr().String()
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/cassiasill/cassiasill/internal/bounded"
+	"github.com/cassiasill/cassiasill/internal/network"
 )
 
 // Limits of connections to servers.
@@ -48,8 +49,9 @@
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dial opens a TCP connection that fails if the peer stops acknowledging data.
-func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+// Dial opens a TCP connection that fails if the peer stops acknowledging data, and whose
+// Read returns io.EOF only after a regular end: a body without a length ends so.
+func Dial(ctx context.Context, protocol, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: DialTimeout, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
 		var setErr error
 		err := raw.Control(func(fd uintptr) {
@@ -60,7 +62,11 @@
 		}
 		return setErr
 	}}
-	return dialer.DialContext(ctx, network, address)
+	c, err := dialer.DialContext(ctx, protocol, address)
+	if err != nil {
+		return nil, err
+	}
+	return network.ReportResets(c), nil
 }
 
 // Limits of the clients that call other hosts and the store.
--- a/internal/network/callerconn.go
+++ b/internal/network/callerconn.go
@@ -55,11 +55,15 @@
 // SendProgress returns how many bytes the peer of a connection has acknowledged since it was
 // opened, and whether others wait to be acknowledged.
 func SendProgress(c syscall.RawConn) (acked uint64, pending bool, err error) {
-	var info *unix.TCPInfo
-	var getErr error
-	err = c.Control(func(fd uintptr) { info, getErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if err = errors.Join(err, getErr); err != nil {
+	info, err := tcpInfo(c)
+	if err != nil {
 		return 0, false, err
 	}
 	return info.Bytes_acked, info.Unacked > 0 || info.Notsent_bytes > 0, nil
 }
+
+func tcpInfo(c syscall.RawConn) (info *unix.TCPInfo, err error) {
+	var getErr error
+	err = c.Control(func(fd uintptr) { info, getErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return info, errors.Join(err, getErr)
+}
