Take a head with an invalid field for no response

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank. Callers got it as an answer: without that line, with a body that was cut or held the framing of chunks where the name was that of the length or the encoding, or with the line appended to the field before it, which may be the signature.

Cause: net/http rejects control bytes in the names of a response and accepts blanks. Content-Length and Transfer-Encoding with a blank behind them are other fields to it, so that the body ends with the connection. A line that begins with a blank continues the field before it (RFC 9112, section 5.2, which lets a gateway answer 502 instead).

Change: headers.CheckNames finds names with blanks after net/http has read a head. The exchange with servers and the settings-driven proxy treat such a response as broken, also a refusal, which is no proof then, and an interim one. Continuation lines are gone from what net/http returns, so both look for them in the bytes: the exchange in headReader, below the connection's buffer, the proxy in its framer. Every other client that reads answers gets them through headers.CheckResponses: the store, other hosts, grants and releases, and, in the settings-driven host, store, health and grants; the head that confirms a connection by way of a peer is checked too. Answers of the CLI's server are not: it is a host.

Why it works: no response is returned before its head has been checked, and what is left of net/http's tolerance, blanks, is what the two checks look for.

Trailers are not checked: their fields are not passed on.

--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/headers"
 )
 
 const (
@@ -208,6 +209,9 @@
 		return false, err
 	}
 	defer response.Body.Close()
+	if err := headers.CheckNames(response.Header); err != nil {
+		return false, err
+	}
 	if response.StatusCode != http.StatusSwitchingProtocols {
 		return false, &refusedError{status: response.StatusCode, cutOff: response.StatusCode == http.StatusServiceUnavailable}
 	}
--- a/internal/detour/endless_test.go
+++ b/internal/detour/endless_test.go
@@ -14,6 +14,16 @@
 	"github.com/cassiasill/cassiasill/internal/exchange"
 )
 
+// Guards against a peer's head with an invalid field that confirms a connection.
+func TestOddHeadOfAPeerConfirmsNothing(t *testing.T) {
+	for _, name := range []string{"X Odd", "X-Odd ", "X\x01Odd"} {
+		peer := serveResponse(t, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n"+framingHeader+": "+chunkedFraming+"\r\n"+name+": 1\r\n\r\n")
+		d := NewDialer(cutTracker(), exchange.Dial, func() []string { return []string{peer} }, func() {})
+		_, err := d.dialThroughPeer(context.Background(), "tcp", peer, "127.0.0.1:1")
+		assert.Assert(t, err != nil, "%q", name)
+	}
+}
+
 // Guards against a peer's head without end, which was kept in memory until the connection
 // had to be open.
 func TestEndlessHeadOfAPeerIsBounded(t *testing.T) {
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/cassiasill/cassiasill/internal/bounded"
+	"github.com/cassiasill/cassiasill/internal/headers"
 )
 
 // conn is one connection to a server.
@@ -17,7 +19,8 @@
 	net.Conn
 	pool              *Pool
 	bounded           *bounded.Reader
-	reader            *bufio.Reader // reads from bounded
+	head              *headReader   // reads from bounded
+	reader            *bufio.Reader // reads from head
 	hasCarriedRequest bool
 	bodyBroken        atomic.Bool // the body of the current request could not be read to its end
 	refusedIDs        []string    // requests that the server refused on this connection
@@ -26,6 +29,35 @@
 	reusable          bool
 }
 
+func newConn(c net.Conn, pool *Pool, now time.Time) *conn {
+	source := &bounded.Reader{Source: c, Err: errTooLong}
+	head := &headReader{source: source}
+	return &conn{Conn: c, pool: pool, bounded: source, head: head, reader: bufio.NewReaderSize(head, 4096), idleSince: now, idleTimeout: defaultIdleTimeout}
+}
+
+// readHead reads the head of the next response.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	c.bounded.Remaining = MaxHeaderBytes
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.head.start(buffered)
+	response, err := http.ReadResponse(c.reader, request)
+	switch {
+	case err != nil:
+		return nil, err
+	case !isValidStatus(response.StatusCode):
+		return nil, fmt.Errorf("%w: %s", errInvalidStatus, response.Status)
+	case c.head.hasContinuation:
+		return nil, errContinuation
+	}
+	if err := headers.CheckNames(response.Header); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
 // applyKeepAlive sets from a response whether the connection is reusable and for
 // how long it may be idle.
 func (c *conn) applyKeepAlive(response *http.Response) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -252,6 +252,7 @@
 	errTooManyStale       = errors.New("too many responses to earlier requests")
 	errTooLong            = errors.New("the response exceeds its size limit")
 	errShortBody          = errors.New("the response body is truncated")
+	errContinuation       = errors.New("the response's head has a continuation line")
 	errInvalidStatus      = errors.New("the response's status is none that a request without an upgrade can have")
 )
 
@@ -261,14 +262,10 @@
 	reused := c.hasCarriedRequest
 	c.hasCarriedRequest = true
 	for range maxStaleResponses {
-		c.bounded.Remaining = MaxHeaderBytes
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		response, err := c.readHead(&http.Request{Method: r.Method})
 		if err != nil {
 			return Result{Outcome: Broken, Err: err}
 		}
-		if !isValidStatus(response.StatusCode) {
-			return Result{Outcome: Broken, Err: fmt.Errorf("%w: %s", errInvalidStatus, response.Status)}
-		}
 		if response.StatusCode < 200 {
 			continue
 		}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -13,7 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/sys/unix"
 
-	"github.com/cassiasill/cassiasill/internal/bounded"
+	"github.com/cassiasill/cassiasill/internal/headers"
 	"github.com/cassiasill/cassiasill/internal/network"
 )
 
@@ -79,8 +78,8 @@
 
 // NewClient returns an HTTP client that calls other hosts and the store.
 func NewClient(dial DialFunc) *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: clientMaxIdleConns,
-		IdleConnTimeout: clientIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: MaxHeaderBytes}}
+	return &http.Client{Transport: headers.CheckResponses(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: clientMaxIdleConns,
+		IdleConnTimeout: clientIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: MaxHeaderBytes})}
 }
 
 // Pool is a connection pool to one server.
@@ -133,8 +132,7 @@
 		return nil, err
 	}
 	p.onConnectionOpened()
-	source := &bounded.Reader{Source: raw, Err: errTooLong}
-	return &conn{Conn: raw, pool: p, bounded: source, reader: bufio.NewReaderSize(source, 4096), idleSince: now, idleTimeout: defaultIdleTimeout}, nil
+	return newConn(raw, p, now), nil
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cassiasill/cassiasill/internal/headers"
 	"github.com/cassiasill/cassiasill/internal/hostlist"
 	"github.com/cassiasill/cassiasill/internal/kernel"
 	"github.com/cassiasill/cassiasill/internal/network"
@@ -140,13 +141,13 @@
 func (h *Host) lister() hostlist.Lister { return hostlist.Static(h.settings.Hosts) }
 
 // transport returns an HTTP transport over the host's network.
-func (h *Host) transport() *http.Transport {
-	return &http.Transport{
+func (h *Host) transport() http.RoundTripper {
+	return headers.CheckResponses(&http.Transport{
 		DialContext:            h.options.Network.Dial,
 		MaxIdleConnsPerHost:    4,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: 64 << 10,
-	}
+	})
 }
 
 // random returns a random source that differs for each purpose.
--- a/internal/proxy/framing.go
+++ b/internal/proxy/framing.go
@@ -20,7 +20,11 @@
 	remaining    int64 // bytes until the end of the body or chunk
 	lineLength   int   // length of the current trailer line
 	heldBack     bool  // bytes after the header are held back
-	tooLong      bool  // more bytes arrived than announced
+	atLineStart  bool  // within the header, after its first line
+	// hasContinuation is true if a line of the header begins with a blank or tab: net/http
+	// appends it to the field before it.
+	hasContinuation bool
+	tooLong         bool // more bytes arrived than announced
 }
 
 type frameState uint8
@@ -69,6 +73,8 @@
 
 func (f *responseFramer) acceptHeader(p []byte) int {
 	for i, c := range p {
+		f.hasContinuation = f.hasContinuation || f.atLineStart && (c == ' ' || c == '\t')
+		f.atLineStart = c == '\n'
 		switch {
 		case c == endOfHeader[f.matchedBytes]:
 			f.matchedBytes++
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -259,6 +259,13 @@
 	return x.framer.tooLong
 }
 
+// hasContinuation reports whether the header of the response has a continuation line.
+func (x *exchange) hasContinuation() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.framer.hasContinuation
+}
+
 // seal forbids further writes and reports whether a connection was obtained and
 // whether the upstream can have received any byte.
 func (x *exchange) seal() (connected, sent bool) {
