--- a/internal/exchange/status_test.go
+++ b/internal/exchange/status_test.go
@@ -15,7 +15,7 @@
 // Guards against a status that is none of HTTP: it reached callers as an answer, or held
 // them until their deadlines because it was taken for an interim response.
 func TestInvalidStatusIsBroken(t *testing.T) {
-	for _, status := range []string{"000", "099", "101", "600", "999", "+20", "-00"} {
+	for _, status := range []string{"000", "0", "00", "20", "+200", "2000", "099", "101", "600", "999", "+20", "-00"} {
 		for _, body := range []string{"", "x"} {
 			pool := servePool(t, func(c net.Conn, _ int, r *http.Request) {
 				_, _ = io.WriteString(c, strings.Replace(okResponse(r.Header.Get("X-Id"), body), "200 OK", status+" Trouble", 1))
