Find continuation lines in one place for both proxies

On reading the change once more: exchange.headReader and the settings-driven proxy's framer each had a search for lines that begin with a blank, and each checked names beside it. headers.Scanner serves both, and its Check is both checks.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cassiasill/cassiasill/internal/bounded"
-	"github.com/cassiasill/cassiasill/internal/headers"
 )
 
 // conn is one connection to a server.
@@ -35,7 +34,7 @@
 	return &conn{Conn: c, pool: pool, bounded: source, head: head, reader: bufio.NewReaderSize(head, 4096), idleSince: now, idleTimeout: defaultIdleTimeout}
 }
 
-// readHead reads the head of the next response.
+// readHead reads the head of the next response, and fails if it is none of HTTP.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	c.bounded.Remaining = MaxHeaderBytes
 	buffered, err := c.reader.Peek(c.reader.Buffered())
@@ -44,15 +43,13 @@
 	}
 	c.head.start(buffered)
 	response, err := http.ReadResponse(c.reader, request)
-	switch {
-	case err != nil:
+	if err != nil {
 		return nil, err
-	case !isValidStatus(response.StatusCode):
+	}
+	if !isValidStatus(response.StatusCode) {
 		return nil, fmt.Errorf("%w: %s", errInvalidStatus, response.Status)
-	case c.head.hasContinuation:
-		return nil, errContinuation
 	}
-	if err := headers.CheckNames(response.Header); err != nil {
+	if err := c.head.scanner.Check(response.Header); err != nil {
 		return nil, err
 	}
 	return response, nil
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -252,7 +252,6 @@
 	errTooManyStale       = errors.New("too many responses to earlier requests")
 	errTooLong            = errors.New("the response exceeds its size limit")
 	errShortBody          = errors.New("the response body is truncated")
-	errContinuation       = errors.New("the response's head has a continuation line")
 	errInvalidStatus      = errors.New("the response's status is none that a request without an upgrade can have")
 )
 
--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -78,7 +78,7 @@
 			reader.start([]byte(head[:at]))
 			_, err := io.Copy(io.Discard, &reader)
 			assert.NilError(t, err)
-			assert.Equal(t, reader.hasContinuation, want, "%q split at %d", head, at)
+			assert.Equal(t, reader.scanner.Check(nil) != nil, want, "%q split at %d", head, at)
 		}
 	}
 }
--- a/internal/proxy/framing.go
+++ b/internal/proxy/framing.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"math"
+
+	"github.com/cassiasill/cassiasill/internal/headers"
 )
 
 // errTooLong is the error of reading a response that is followed by more bytes
@@ -16,15 +18,12 @@
 // detects them before the last byte of the response is passed on.
 type responseFramer struct {
 	state        frameState
-	matchedBytes int   // number of bytes of endOfHeader that matched so far
-	remaining    int64 // bytes until the end of the body or chunk
-	lineLength   int   // length of the current trailer line
-	heldBack     bool  // bytes after the header are held back
-	atLineStart  bool  // within the header, after its first line
-	// hasContinuation is true if a line of the header begins with a blank or tab: net/http
-	// appends it to the field before it.
-	hasContinuation bool
-	tooLong         bool // more bytes arrived than announced
+	matchedBytes int             // number of bytes of endOfHeader that matched so far
+	remaining    int64           // bytes until the end of the body or chunk
+	lineLength   int             // length of the current trailer line
+	heldBack     bool            // bytes after the header are held back
+	tooLong      bool            // more bytes arrived than announced
+	scanner      headers.Scanner // of the header
 }
 
 type frameState uint8
@@ -72,9 +71,8 @@
 }
 
 func (f *responseFramer) acceptHeader(p []byte) int {
+	f.scanner.Scan(p)
 	for i, c := range p {
-		f.hasContinuation = f.hasContinuation || f.atLineStart && (c == ' ' || c == '\t')
-		f.atLineStart = c == '\n'
 		switch {
 		case c == endOfHeader[f.matchedBytes]:
 			f.matchedBytes++
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -15,7 +15,6 @@
 
 	"github.com/cassiasill/cassiasill/internal/admission"
 	"github.com/cassiasill/cassiasill/internal/apierror"
-	"github.com/cassiasill/cassiasill/internal/headers"
 	"github.com/cassiasill/cassiasill/internal/routing"
 )
 
@@ -177,12 +176,9 @@
 // rejections and reads the beginning of the body.
 func (q *request) checkResponse(a *upstreamResponse, p *resumeRange) *failure {
 	r := a.response
-	if err := headers.CheckNames(r.Header); err != nil {
+	if err := a.exchange.checkHeader(r.Header); err != nil {
 		return invalidResponse("%w", err)
 	}
-	if a.exchange.hasContinuation() {
-		return invalidResponse("the response's header has a continuation line")
-	}
 	if ids := r.Header[apierror.HeaderRequestID]; len(ids) != 1 || ids[0] != q.id {
 		return invalidResponse("the response belongs to another request")
 	}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -259,11 +259,11 @@
 	return x.framer.tooLong
 }
 
-// hasContinuation reports whether the header of the response has a continuation line.
-func (x *exchange) hasContinuation() bool {
+// checkHeader returns an error if the response's header has an invalid field.
+func (x *exchange) checkHeader(header http.Header) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.framer.hasContinuation
+	return x.framer.scanner.Check(header)
 }
 
 // seal forbids further writes and reports whether a connection was obtained and
