--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiasill/cassiasill/internal/exchange"
+	"github.com/cassiasill/cassiasill/internal/network"
 )
 
 // Path is where a host takes requests for detours.
@@ -150,10 +151,5 @@
 	_ = c.Close()
 }
 
-// setLinger sets how a connection ends when it is closed: with a reset if seconds is 0,
-// and regularly if it is negative.
-func setLinger(c net.Conn, seconds int) {
-	if l, ok := c.(interface{ SetLinger(int) error }); ok {
-		_ = l.SetLinger(seconds) // fails only on a closed connection
-	}
-}
+// setLinger is network.SetLinger, which fails only on a closed connection.
+func setLinger(c net.Conn, seconds int) { _ = network.SetLinger(c, seconds) }
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -61,10 +61,7 @@
 		h.Log.Debug("entry: connection not reset", zap.Error(err))
 		return
 	}
-	if l, ok := c.(interface{ SetLinger(int) error }); ok {
-		err = l.SetLinger(0)
-	}
-	if err = errors.Join(err, c.Close()); err != nil {
+	if err := errors.Join(network.SetLinger(c, 0), c.Close()); err != nil {
 		h.Log.Debug("entry: connection not reset", zap.Error(err))
 	}
 }
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -50,3 +50,12 @@
 	})
 	return errors.Join(err, setErr)
 }
+
+// SetLinger sets how a connection ends when it is closed: with a reset if seconds is 0, and
+// regularly if it is negative. A connection without that choice is left alone.
+func SetLinger(c net.Conn, seconds int) error {
+	if l, ok := c.(interface{ SetLinger(int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
