Share the accept loops of the stand-in servers within a package

On reading the change once more: the new stand-ins of packages exchange and detour each had an accept loop beside one that was there, and the check of an answered upload stood four times. serveConns serves them, also the older servers; all assertions are kept.

--- a/internal/detour/framing_test.go
+++ b/internal/detour/framing_test.go
@@ -71,9 +71,8 @@
 // bodyServer is a server whose response has no length. It sends the head and the
 // first half of the body, and the second half after finish is closed.
 type bodyServer struct {
-	listener net.Listener
-	finish   chan struct{}
-	group    conc.WaitGroup
+	address string
+	finish  chan struct{}
 }
 
 const (
@@ -83,41 +82,51 @@
 )
 
 func newBodyServer(t *testing.T) *bodyServer {
+	t.Helper()
+	s := &bodyServer{finish: make(chan struct{})}
+	s.address = serveConns(t, func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, unframedHead+halfBody)
+		<-s.finish
+		_, _ = io.WriteString(c, strings.TrimPrefix(wholeBody, halfBody))
+	})
+	t.Cleanup(func() { // before that of serveConns, which waits for the server
+		select {
+		case <-s.finish:
+		default:
+			close(s.finish)
+		}
+	})
+	return s
+}
+
+// serveConns starts a server that calls serve for each connection. It returns its address.
+func serveConns(t *testing.T, serve func(c *net.TCPConn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &bodyServer{listener: listener, finish: make(chan struct{})}
-	s.group.Go(func() {
+	var group conc.WaitGroup
+	group.Go(func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			s.group.Go(func() {
+			group.Go(func() {
 				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, unframedHead+halfBody)
-				<-s.finish
-				_, _ = io.WriteString(c, strings.TrimPrefix(wholeBody, halfBody))
+				serve(c.(*net.TCPConn))
 			})
 		}
 	})
 	t.Cleanup(func() {
-		select {
-		case <-s.finish:
-		default:
-			close(s.finish)
-		}
 		_ = listener.Close()
-		s.group.Wait()
+		group.Wait()
 	})
-	return s
+	return listener.Addr().String()
 }
 
-func (s *bodyServer) address() string { return s.listener.Addr().String() }
-
 // dialerBy returns a Dialer of a host that is cut off and knows one peer.
 func dialerBy(peer string) *Dialer {
 	direct := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -158,14 +167,14 @@
 			if name == "frozen" {
 				want = exchange.TimedOut
 			}
-			result := requestBy(t, peer.address, server.address(), time.Second)
+			result := requestBy(t, peer.address, server.address, time.Second)
 			assert.Equal(t, result.Outcome, want, "status %d, body %q, %v", result.Status, result.Body, result.Err)
 		})
 	}
 	t.Run("none", func(t *testing.T) {
 		peer, server := startPeerProcess(t), newBodyServer(t)
 		time.AfterFunc(200*time.Millisecond, func() { close(server.finish) })
-		result := requestBy(t, peer.address, server.address(), 5*time.Second)
+		result := requestBy(t, peer.address, server.address, 5*time.Second)
 		assert.Equal(t, result.Outcome, exchange.Answered, "%v", result.Err)
 		assert.Equal(t, string(result.Body), wholeBody)
 	})
@@ -183,7 +192,7 @@
 	address := strings.TrimPrefix(peer.URL, "http://")
 	server := newBodyServer(t)
 	close(server.finish)
-	result := requestBy(t, address, server.address(), time.Second)
+	result := requestBy(t, address, server.address, time.Second)
 	assert.Equal(t, result.Outcome, exchange.Broken)
 	assert.Assert(t, result.Sent, "the request may have been executed")
 
@@ -202,7 +211,7 @@
 		c, err := net.Dial("tcp", peer.address)
 		assert.NilError(t, err)
 		defer c.Close()
-		_, err = fmt.Fprintf(c, "GET %s?%s=%s HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: %s\r\n\r\n", Path, serverParameter, server.address(), protocol)
+		_, err = fmt.Fprintf(c, "GET %s?%s=%s HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: %s\r\n\r\n", Path, serverParameter, server.address, protocol)
 		assert.NilError(t, err)
 		reader := bufio.NewReader(c)
 		response, err := http.ReadResponse(reader, nil)
@@ -231,28 +240,11 @@
 // closes the connection. It returns its address.
 func serveResponse(t *testing.T, response string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	var group conc.WaitGroup
-	group.Go(func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, response)
-				}
-			})
+	return serveConns(t, func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, response)
 		}
 	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		group.Wait()
-	})
-	return listener.Addr().String()
 }
 
 // Guards against framings that change on the way by a peer: the end of the connection
--- a/internal/detour/upload_test.go
+++ b/internal/detour/upload_test.go
@@ -48,31 +48,14 @@
 // written, and then resets the connection or ends it regularly. It returns its address.
 func serveEarly(t *testing.T, reset bool) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	var group conc.WaitGroup
-	group.Go(func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() {
-				defer c.Close()
-				_, _ = io.CopyN(io.Discard, c, 1<<20)
-				_, _ = io.WriteString(c, unframedHead+wholeBody)
-				if reset {
-					_ = c.(*net.TCPConn).SetLinger(0)
-					return
-				}
-				_ = c.(*net.TCPConn).CloseWrite()
-				_, _ = io.Copy(io.Discard, c)
-			})
+	return serveConns(t, func(c *net.TCPConn) {
+		_, _ = io.CopyN(io.Discard, c, 1<<20)
+		_, _ = io.WriteString(c, unframedHead+wholeBody)
+		if reset {
+			_ = c.SetLinger(0)
+			return
 		}
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
 	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		group.Wait()
-	})
-	return listener.Addr().String()
 }
--- a/internal/exchange/earlyresponse_test.go
+++ b/internal/exchange/earlyresponse_test.go
@@ -12,7 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 )
 
@@ -20,37 +19,17 @@
 // has arrived. It returns a pool for it that opens connections with dial.
 func serveUpload(t *testing.T, dial DialFunc, respond func(c *net.TCPConn)) *Pool {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	var group, background conc.WaitGroup
-	group.Go(func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
+	return serveConns(t, dial, func(c net.Conn) {
+		// One byte at a time, so that all that follows the head stays unread.
+		head, b := "", make([]byte, 1)
+		for !strings.HasSuffix(head, "\r\n\r\n") {
+			if _, err := c.Read(b); err != nil {
 				return
 			}
-			group.Go(func() {
-				defer c.Close()
-				// One byte at a time, so that all that follows the head stays unread.
-				head, b := "", make([]byte, 1)
-				for !strings.HasSuffix(head, "\r\n\r\n") {
-					if _, err := c.Read(b); err != nil {
-						return
-					}
-					head += string(b)
-				}
-				respond(c.(*net.TCPConn))
-			})
+			head += string(b)
 		}
+		respond(c.(*net.TCPConn))
 	})
-	pool := NewPool(listener.Addr().String(), &headerNames, dial, &background, nil)
-	t.Cleanup(func() {
-		_ = listener.Close()
-		pool.Close()
-		group.Wait()
-		background.Wait()
-	})
-	return pool
 }
 
 // uploadBody is a body that comes in pieces and has no end of its own: the test ends
@@ -84,6 +63,15 @@
 	return result, text + string(rest), err
 }
 
+// assertAnswered checks that an upload is answered with the body.
+func assertAnswered(t *testing.T, pool *Pool, want string) {
+	t.Helper()
+	result, body, err := upload(t, pool)
+	assert.NilError(t, err)
+	assert.Equal(t, result.Outcome, Answered)
+	assert.Equal(t, body, want)
+}
+
 // writerFirst is a connection whose reads wait until a write has failed, so that the
 // kernel reports the end of the connection to the writer.
 type writerFirst struct {
@@ -166,10 +154,7 @@
 					resetConnection(c)
 				})
 				for range 5 {
-					result, body, err := upload(t, pool)
-					assert.NilError(t, err)
-					assert.Equal(t, result.Outcome, Answered)
-					assert.Equal(t, body, want)
+					assertAnswered(t, pool, want)
 				}
 			})
 		}
@@ -180,10 +165,7 @@
 			_ = c.CloseWrite()
 			_, _ = io.Copy(io.Discard, c)
 		})
-		result, body, err := upload(t, pool)
-		assert.NilError(t, err)
-		assert.Equal(t, result.Outcome, Answered)
-		assert.Equal(t, body, want)
+		assertAnswered(t, pool, want)
 	})
 	t.Run("the server reads nothing", func(t *testing.T) {
 		pool := serveUpload(t, Dial, func(c *net.TCPConn) {
@@ -193,10 +175,7 @@
 			time.Sleep(time.Second)
 		})
 		startedAt := time.Now()
-		result, body, err := upload(t, pool)
-		assert.NilError(t, err)
-		assert.Equal(t, result.Outcome, Answered)
-		assert.Equal(t, body, want)
+		assertAnswered(t, pool, want)
 		assert.Assert(t, time.Since(startedAt) < 900*time.Millisecond, "the body's end waited for the request's")
 	})
 }
@@ -208,8 +187,5 @@
 		_, _ = io.WriteString(c, okResponse("1", "whole"))
 		_, _ = io.Copy(io.Discard, c)
 	})
-	result, body, err := upload(t, pool)
-	assert.NilError(t, err)
-	assert.Equal(t, result.Outcome, Answered)
-	assert.Equal(t, body, "whole")
+	assertAnswered(t, pool, "whole")
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -22,10 +22,27 @@
 // servePool starts a server that calls respond for request n of each connection,
 // and returns a pool for it.
 func servePool(t *testing.T, respond func(c net.Conn, n int, r *http.Request)) *Pool {
+	t.Helper()
+	return serveConns(t, Dial, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			respond(c, n, r)
+		}
+	})
+}
+
+// serveConns starts a server that calls serve for each connection, and returns a pool for
+// it that opens connections with dial.
+func serveConns(t *testing.T, dial DialFunc, serve func(net.Conn)) *Pool {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	var group conc.WaitGroup
+	var group, background conc.WaitGroup
 	var mu sync.Mutex
 	var accepted []net.Conn
 	group.Go(func() {
@@ -39,19 +56,11 @@
 			mu.Unlock()
 			group.Go(func() {
 				defer c.Close()
-				reader := bufio.NewReader(c)
-				for n := 0; ; n++ {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					respond(c, n, r)
-				}
+				serve(c)
 			})
 		}
 	})
-	pool := NewPool(listener.Addr().String(), &headerNames, Dial, &conc.WaitGroup{}, nil)
+	pool := NewPool(listener.Addr().String(), &headerNames, dial, &background, nil)
 	t.Cleanup(func() {
 		_ = listener.Close()
 		pool.Close()
@@ -62,6 +71,7 @@
 		}
 		mu.Unlock()
 		group.Wait()
+		background.Wait()
 	})
 	return pool
 }
