End a connection only if no request has arrived on it

Cause, shown by the new test: connections that wait for a request were taken from a list and closed under their reader, by connlimit and again by http.Server.Shutdown. Whether a request has arrived is known to neither: it may lie in the socket of a busy process, or have been read and not yet handed over. The same held for the idle timeout and for the bound on connections, which makes room.

Change: connlimit wraps each connection and ends an idle one by way of its read deadline, which takes no bytes from the socket. The reader itself, which alone knows, then closes the connection, or keeps it if bytes have arrived. Server.Shutdown doesn't use that of http.Server any more: it closes the listeners, ends idle connections and waits for the rest. A response that is written after the stop has begun closes its connection, also if its request came before.

Why it works: a read that was ended by its deadline has taken nothing, so either the request is read and answered, or it has not been read and crosses the close, and its caller sends it again.

--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -1,9 +1,14 @@
-// Package connlimit bounds the number of connections of an HTTP server. When the bound is
-// reached, the connection that has waited for a request for longest is closed; if there is
-// none, the new connection is.
+// Package connlimit bounds the number of connections of an HTTP server and ends those that
+// wait for a request. When the bound is reached, the connection that has waited for longest is
+// ended; if there is none, the new connection is.
+//
+// A connection on which a request has arrived is never ended, whether the request has been
+// read or not: http.Server closes connections whose request it has read and not yet handed
+// over, so neither its Shutdown nor its idle timeout serves here.
 package connlimit
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -19,22 +24,23 @@
 	onLimit func(refused bool)
 
 	mu    sync.Mutex
-	conns map[net.Conn]*conn
-	// Connections that wait for a request, the one that waits for longest first.
+	conns map[*conn]connState
+	// Connections that wait for a request and are not being ended, the one that waits for
+	// longest first.
 	first, last *conn
 }
 
-// conn is one open connection.
-type conn struct {
-	net.Conn
-	idleSince  time.Time
-	idle       bool
-	prev, next *conn
-}
+// connState is what the HTTP server does with a connection.
+type connState uint8
+
+const (
+	waits connState = iota // for a request, of which a part may have been read
+	serves
+)
 
 // New returns a Limiter for at most maxConns connections; 0 sets no bound.
 func New(maxConns int, onLimit func(refused bool)) *Limiter {
-	return &Limiter{max: maxConns, onLimit: onLimit, conns: make(map[net.Conn]*conn)}
+	return &Limiter{max: maxConns, onLimit: onLimit, conns: make(map[*conn]connState)}
 }
 
 // Count returns the number of open connections.
@@ -47,38 +53,78 @@
 // ConnState is the hook of the http.Server. A connection on which a request has not been
 // read to the end of its head waits for a request.
 func (l *Limiter) ConnState(c net.Conn, state http.ConnState) {
+	tracked := unwrap(c)
+	if tracked == nil {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	tracked := l.conns[c]
-	switch state {
-	case http.StateNew:
-		tracked = &conn{Conn: c}
-		l.conns[c] = tracked
+	_, open := l.conns[tracked]
+	switch {
+	case state == http.StateNew, state == http.StateIdle && open:
+		l.conns[tracked] = waits
 		l.link(tracked)
-	case http.StateIdle:
-		if tracked != nil {
-			l.link(tracked)
-		}
-	case http.StateActive:
-		if tracked != nil {
-			l.unlink(tracked)
-		}
-	default:
-		l.remove(c)
+	case state == http.StateActive && open:
+		l.conns[tracked] = serves
+		l.unlink(tracked)
+		tracked.keep()
+	case state == http.StateHijacked:
+		l.unlink(tracked)
+		delete(l.conns, tracked)
 	}
 }
 
-// CloseIdle closes the connections that have waited for a request for longer than the limit.
-func (l *Limiter) CloseIdle(limit time.Duration, now time.Time) {
+// remove forgets a connection that is being closed.
+func (l *Limiter) remove(c *conn) {
 	l.mu.Lock()
-	var expired []net.Conn
-	for c := l.first; c != nil && now.Sub(c.idleSince) > limit; c = l.first {
-		expired = append(expired, c.Conn)
-		l.remove(c.Conn)
+	defer l.mu.Unlock()
+	l.unlink(c)
+	delete(l.conns, c)
+}
+
+// waitAgain records that bytes have arrived on a connection that was being ended. It has
+// another period to complete the request.
+func (l *Limiter) waitAgain(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if state, open := l.conns[c]; open && state == waits {
+		l.link(c)
+	}
+}
+
+// EndIdle ends the connections that have waited for a request for longer than the limit,
+// unless one arrives meanwhile.
+func (l *Limiter) EndIdle(limit time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := l.first; c != nil && now.Sub(c.idleSince) > limit; {
+		next := c.next
+		if c.endIdle() {
+			l.unlink(c)
+		}
+		c = next
 	}
-	l.mu.Unlock()
-	for _, c := range expired {
-		_ = c.Close() // fails only if it is closed already
+}
+
+// endPollInterval is how often Drain ends connections that wait for a request.
+const endPollInterval = 20 * time.Millisecond
+
+// Drain returns when no connection is open. It ends those that wait for a request for longer
+// than the limit, and waits for the others until ctx ends, whose error it returns then. No
+// more connections may be accepted, and responses should close theirs.
+func (l *Limiter) Drain(ctx context.Context, limit time.Duration) error {
+	ticker := time.NewTicker(endPollInterval)
+	defer ticker.Stop()
+	for {
+		l.EndIdle(limit, time.Now())
+		if l.Count() == 0 {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 }
 
@@ -94,8 +140,11 @@
 func (l *limited) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
-		if err != nil || l.limiter.admit() {
-			return c, err
+		if err != nil {
+			return nil, err
+		}
+		if l.limiter.admit() {
+			return &conn{Conn: c, limiter: l.limiter}, nil
 		}
 		_ = c.Close() // refused
 	}
@@ -103,28 +152,37 @@
 
 // admit makes room for one connection.
 func (l *Limiter) admit() bool {
-	l.mu.Lock()
-	if l.max <= 0 || len(l.conns) < l.max {
-		l.mu.Unlock()
-		return true
-	}
-	longest := l.first
-	if longest != nil {
-		l.remove(longest.Conn)
-	}
-	l.mu.Unlock()
-	if longest != nil {
-		_ = longest.Close() // fails only if it is closed already
+	for {
+		victim, room := l.endLongestIdle()
+		if room {
+			return true
+		}
+		if victim == nil {
+			l.onLimit(true)
+			return false
+		}
+		if victim.hasEnded() {
+			l.onLimit(false)
+			return true
+		}
 	}
-	l.onLimit(longest == nil)
-	return longest != nil
 }
 
-func (l *Limiter) remove(c net.Conn) {
-	if tracked := l.conns[c]; tracked != nil {
-		l.unlink(tracked)
-		delete(l.conns, c)
+// endLongestIdle ends the connection that has waited for a request for longest, if there is
+// no room for another one.
+func (l *Limiter) endLongestIdle() (victim *conn, room bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.max <= 0 || len(l.conns) < l.max {
+		return nil, true
+	}
+	for c := l.first; c != nil; c = c.next {
+		if c.endIdle() {
+			l.unlink(c)
+			return c, false
+		}
 	}
+	return nil, false
 }
 
 func (l *Limiter) link(c *conn) {
--- a/internal/entry/readahead.go
+++ b/internal/entry/readahead.go
@@ -26,8 +26,6 @@
 	// before its turn. Larger ones are often streamed and would occupy their servers
 	// while they wait.
 	maxExpectedBytes = exchange.DefaultMaxBufferedBytes / 2
-	// turnPollInterval is how often a stopping host looks whether started requests wait.
-	turnPollInterval = 20 * time.Millisecond
 )
 
 // readAhead holds what a Handler knows of the requests that were started before their
@@ -72,24 +70,11 @@
 	return !a.stopped
 }
 
-// anyWaiting reports whether started requests wait for their turn.
-func (a *readAhead) anyWaiting() bool {
+// waitingCount returns the number of started requests that wait for their turn.
+func (a *readAhead) waitingCount() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.waiting > 0
-}
-
-// awaitTurns waits until no started request waits for its turn, or ctx ends.
-func (h *Handler) awaitTurns(ctx context.Context) {
-	ticker := time.NewTicker(turnPollInterval)
-	defer ticker.Stop()
-	for h.readAhead.anyWaiting() {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	return a.waiting
 }
 
 // Listener returns a listener on whose connections pipelined requests are started before
--- a/internal/entry/readahead_test.go
+++ b/internal/entry/readahead_test.go
@@ -239,7 +239,7 @@
 		for _, id := range began {
 			checkDepartureLog(t, p, id, stageSent)
 		}
-		waitFor(t, func() bool { return !p.handler.readAhead.anyWaiting() })
+		waitFor(t, func() bool { return p.handler.readAhead.waitingCount() == 0 })
 	}
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -26,9 +26,7 @@
 	s := sessionOf(r.Context())
 	defer s.finish()
 	p := s.take(r)
-	if h.drain.Load() != nil && s.stop() == 0 {
-		w.Header().Set("Connection", "close")
-	}
+	h.announceClose(w, s)
 	if p != nil {
 		h.respondStarted(w, r, p)
 		return
@@ -45,6 +43,14 @@
 	h.respond(w, r, o)
 }
 
+// announceClose makes a stopping host close the connection with the response, unless started
+// requests wait behind it.
+func (h *Handler) announceClose(w http.ResponseWriter, s *session) {
+	if h.drain.Load() != nil && s.stop() == 0 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // match returns the snapshot by which the request is served and its route.
 func (h *Handler) match(r *http.Request) (*control.Snapshot, *routes.Route, *apierror.Error) {
 	snapshot := h.View.Load()
@@ -72,6 +78,7 @@
 
 // respond writes an outcome to the caller.
 func (h *Handler) respond(w http.ResponseWriter, r *http.Request, o outcome) {
+	h.announceClose(w, sessionOf(r.Context())) // the stop may have begun meanwhile
 	if o.failure != nil {
 		h.writeError(w, o.q, r, o.failure)
 		return
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,6 +46,10 @@
 	http    *http.Server
 	log     *zap.Logger
 	conns   *connlimit.Limiter
+
+	mu        sync.Mutex
+	listeners []net.Listener
+	stopping  bool // no connections are accepted any more
 }
 
 // NewServer returns a Server that is not yet listening. At most maxConns connections are open
@@ -73,25 +78,32 @@
 
 // Serve accepts connections until Shutdown is called.
 func (s *Server) Serve(listener net.Listener) error {
-	if err := s.http.Serve(s.handler.Listener(s.conns.Listener(listener))); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	s.mu.Lock()
+	s.listeners = append(s.listeners, listener)
+	s.mu.Unlock()
+	err := s.http.Serve(s.handler.Listener(s.conns.Listener(listener)))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping || errors.Is(err, http.ErrServerClosed) {
+		return nil
 	}
-	return nil
+	return err
 }
 
-// CloseExpiredConns closes connections that have been idle for longer than the configuration
+// CloseExpiredConns ends connections that have been idle for longer than the configuration
 // allows.
 func (s *Server) CloseExpiredConns(now time.Time) {
 	limit := defaultIdleTimeout
 	if config := s.handler.View.Load().Config; config != nil && config.Limits.IdleTimeout > 0 {
 		limit = time.Duration(float64(config.Limits.IdleTimeout) * idleTimeoutFactor)
 	}
-	s.conns.CloseIdle(limit, now)
+	s.conns.EndIdle(limit, now)
 }
 
-// Shutdown drains the server: it keeps accepting connections for drainAcceptPeriod,
-// so that the load balancer removes the host first, then waits for requests in
-// flight until ctx ends.
+// Shutdown stops the server in one order for all connections: it keeps accepting for
+// drainAcceptPeriod, so that the load balancer removes the host first; then it accepts no
+// more, ends the connections on which no request has arrived, and waits for those with one
+// until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	now := time.Now()
 	end, bounded := ctx.Deadline()
@@ -105,19 +117,25 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	// Connections without a request and bodies that make no progress would last until the
-	// end of the period.
-	now = time.Now()
-	s.conns.CloseIdle(shutdownStall, now)
-	for s.handler.Budget.EvictStalled(shutdownStall, now) {
+	s.stopAccepting()
+	// Bodies that make no progress would last until the end of the period.
+	for now := time.Now(); s.handler.Budget.EvictStalled(shutdownStall, now); {
 	}
-	// The HTTP server closes connections after the response in progress once it shuts down.
-	s.handler.awaitTurns(ctx)
-	err := s.http.Shutdown(ctx)
-	if err != nil {
-		s.log.Warn("entry: requests in flight aborted at the end of the shutdown", zap.Error(err))
-		err = s.http.Close()
+	if err := s.conns.Drain(ctx, shutdownStall); err != nil {
+		s.log.Warn("entry: requests in flight aborted at the end of the shutdown", zap.Int("connections", s.conns.Count()),
+			zap.Int("pipelined", s.handler.readAhead.waitingCount()), zap.Error(err))
 	}
+	err := s.http.Close()
 	s.handler.readAhead.group.Wait()
 	return err
 }
+
+// stopAccepting closes the listeners.
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for _, l := range s.listeners {
+		_ = l.Close() // fails only if it is closed already
+	}
+}
--- a/internal/entry/started_test.go
+++ b/internal/entry/started_test.go
@@ -76,7 +76,7 @@
 		checkOwnResponse(t, reader, r[4:])
 	}
 	recorder := httptest.NewRecorder()
-	waitFor(t, func() bool { return !p.handler.readAhead.anyWaiting() })
+	waitFor(t, func() bool { return p.handler.readAhead.waitingCount() == 0 })
 	p.metrics.ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 	for name, n := range map[string]int{"entry_requests_total": 8, "entry_results_total": 8, "entry_read_ahead_total": 7, "entry_started_ahead_total": 7, "entry_pipeline_depth_count": 7} {
 		found := regexp.MustCompile("(?m)^" + name + `(?:\{.*\})? (\d+)$`).FindStringSubmatch(recorder.Body.String())
--- a/internal/network/callerconn.go
+++ b/internal/network/callerconn.go
@@ -62,6 +62,26 @@
 	return info.Bytes_acked, info.Unacked > 0 || info.Notsent_bytes > 0, nil
 }
 
+// HasUnread reports whether bytes of the peer wait to be read, or the end of its bytes. It
+// reports false for a connection that is not of the operating system.
+func HasUnread(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil
+	})
+	return err == nil && unread
+}
+
 func tcpInfo(c syscall.RawConn) (info *unix.TCPInfo, err error) {
 	var getErr error
 	err = c.Control(func(fd uintptr) { info, getErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -266,6 +266,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection that is read ahead.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // SyscallConn returns the operating system's connection. It fails if there is none.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	if sc, ok := c.Conn.(syscall.Conn); ok {
