Let other hosts leave the connections that a stopping host carries for them

Cause: a stop knew nothing of detours. Their connections are hijacked, so no HTTP server waits for them; the process ended when its own requests had. It opened new ones up to its end, and the hosts that used them were not told.

Change: one order for carried connections, too. From SIGTERM on a host refuses new detours and says why, so that such refusals are no attempts; it tells the hosts that use those that are open, and waits until these have left, up to the end of the stop. The notice is a frame among the server's bytes. It needs a framing of its own, since HTTP chunks have no place for it between two responses; builds negotiate it and older ones keep chunks. All services of a process now share one deadline for their stop: each had the whole of it, so that two could exceed the grace period.

Why it works: what was sent before the notice is copied to its end, what comes after it goes another way, and the process ends when none is left. Not covered: a request that lasts beyond the end of the stop, and hosts of older builds, which don't understand the notice; the stop waits for them, too.

--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -29,7 +29,7 @@
 	peerTimeout = exchange.DialTimeout + 100*time.Millisecond
 	// maxPeerAttempts is how many peers are asked for one connection.
 	maxPeerAttempts = 3
-	// peerRetryAfter is how long a peer that failed is not asked again.
+	// peerRetryAfter is how long a peer that failed or stops is not asked again.
 	peerRetryAfter = time.Second
 )
 
@@ -118,9 +118,10 @@
 // Wait waits for the end of a probe.
 func (d *Dialer) Wait() { d.group.Wait() }
 
-// dialThroughPeers asks peers in random order, so that they share the load.
+// dialThroughPeers asks peers in random order, so that they share the load. Those that are
+// stopping do not count as attempts: many hosts may be restarted at the same time.
 func (d *Dialer) dialThroughPeers(ctx context.Context, network, address string) (net.Conn, error) {
-	err := ErrNoPath
+	attempts := 0
 	for _, peer := range d.usablePeers() {
 		c, peerErr := d.dialThroughPeer(ctx, network, peer, address)
 		if peerErr == nil {
@@ -131,18 +132,30 @@
 			return nil, ctx.Err()
 		}
 		var refused *refusedError
-		if errors.As(peerErr, &refused) && !refused.cutOff {
+		isRefused := errors.As(peerErr, &refused)
+		if isRefused && !refused.cutOff {
 			// The peer reaches other servers; this one may be gone.
 			return nil, &net.OpError{Op: "dial", Net: network, Err: peerErr}
 		}
-		d.mu.Lock()
-		d.avoidUntil[peer] = time.Now().Add(peerRetryAfter)
-		d.mu.Unlock()
+		d.avoid(peer)
+		if isRefused && refused.stopping {
+			continue
+		}
+		if attempts++; attempts == maxPeerAttempts {
+			break
+		}
 	}
-	return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+	return nil, &net.OpError{Op: "dial", Net: network, Err: ErrNoPath}
+}
+
+// avoid keeps a peer from being asked for some time.
+func (d *Dialer) avoid(peer string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.avoidUntil[peer] = time.Now().Add(peerRetryAfter)
 }
 
-// usablePeers returns up to maxPeerAttempts peers that have not failed recently.
+// usablePeers returns the peers that have not failed recently.
 func (d *Dialer) usablePeers() []string {
 	all := d.peers()
 	now := time.Now()
@@ -154,14 +167,17 @@
 			usable = append(usable, all[i])
 		}
 	}
-	return usable[:min(len(usable), maxPeerAttempts)]
+	return usable
 }
 
 // refusedError reports that a peer did not open the connection.
 type refusedError struct {
 	status int
-	// cutOff is true if the peer is cut off from all servers itself.
+	// cutOff is true if the peer opens no connections at present: it is cut off from all
+	// servers itself, has no room, or stops.
 	cutOff bool
+	// stopping is true if the peer stops.
+	stopping bool
 }
 
 func (e *refusedError) Error() string {
@@ -177,7 +193,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	framed, err := requestDetour(c, peer, address)
+	framing, err := requestDetour(c, peer, address)
 	if err != nil {
 		stop()
 		_ = c.Close() // unused
@@ -187,36 +203,41 @@
 		_ = c.Close() // its deadline has passed
 		return nil, ctx.Err()
 	}
-	if framed {
-		return newFramedConn(c), nil
+	switch framing {
+	case framesFraming:
+		return newFramedConn(c, func() { d.avoid(peer) }), nil
+	case chunkedFraming:
+		return newChunkedConn(c), nil
+	default:
+		return &unframedConn{c}, nil
 	}
-	return &unframedConn{c}, nil
 }
 
 // requestDetour asks the peer at the other end to connect to a server. After it has
-// returned nil, the connection carries the bytes of that server, in chunks if framed
-// is true.
-func requestDetour(c net.Conn, peer, address string) (framed bool, err error) {
+// returned nil, the connection carries the bytes of that server in the framing that it
+// returns.
+func requestDetour(c net.Conn, peer, address string) (framing string, err error) {
 	request := &http.Request{Method: http.MethodGet, Host: peer, URL: &url.URL{Path: Path, RawQuery: url.Values{serverParameter: {address}}.Encode()},
-		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {protocol}, framingHeader: {chunkedFraming}}}
+		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {protocol}, framingHeader: {chunkedFraming, framesFraming}}} // older builds look at the first
 	if err := request.Write(c); err != nil {
-		return false, err
+		return "", err
 	}
 	// The head alone is read; whoever has the address may send one without end.
 	reader := bufio.NewReader(io.LimitReader(c, exchange.MaxHeaderBytes))
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
-		return false, err
+		return "", err
 	}
 	defer response.Body.Close()
 	if err := headers.CheckNames(response.Header); err != nil {
-		return false, err
+		return "", err
 	}
 	if response.StatusCode != http.StatusSwitchingProtocols {
-		return false, &refusedError{status: response.StatusCode, cutOff: response.StatusCode == http.StatusServiceUnavailable}
+		return "", &refusedError{status: response.StatusCode, cutOff: response.StatusCode == http.StatusServiceUnavailable,
+			stopping: response.Header.Get(stoppingHeader) != ""}
 	}
 	if reader.Buffered() > 0 {
-		return false, errors.New("the server sent bytes before any request")
+		return "", errors.New("the server sent bytes before any request")
 	}
-	return response.Header.Get(framingHeader) == chunkedFraming, nil
+	return response.Header.Get(framingHeader), nil
 }
--- a/internal/detour/framing.go
+++ b/internal/detour/framing.go
@@ -12,11 +12,12 @@
 
 // A response without a length ends with its connection. If the process of a peer
 // ends, for whatever reason, the kernel closes its connections just as regularly as
-// a server does. So the peer frames the server's bytes as HTTP chunks, and only the
-// last chunk states that the server's connection has ended regularly.
+// a server does. So the peer frames the server's bytes, and only the last frame states
+// that the server's connection has ended regularly. Hosts of older builds use HTTP
+// chunks, or no framing at all.
 
 // unprovenEndError reports that the connection to a peer has ended without the last
-// chunk. It is not io.EOF, which would look like the end of a body.
+// frame. It is not io.EOF, which would look like the end of a body.
 type unprovenEndError struct{ peer string }
 
 // Error names the peer.
@@ -31,13 +32,18 @@
 	markEnd() error
 }
 
-func newHostWriter(host net.Conn, framed bool) hostWriter {
-	if framed {
+// newHostWriter returns the writer for a framing: one of the names of framings, or empty.
+func newHostWriter(host net.Conn, framing string) hostWriter {
+	switch framing {
+	case framesFraming:
+		return newFrameWriter(host)
+	case chunkedFraming:
 		buffer := bufio.NewWriterSize(host, maxChunkBytes)
 		return &chunkWriter{buffer: buffer, chunks: httputil.NewChunkedWriter(buffer)}
+	default:
+		setLinger(host, 0)
+		return plainWriter{host}
 	}
-	setLinger(host, 0)
-	return plainWriter{host}
 }
 
 // chunkWriter writes chunks.
@@ -78,23 +84,23 @@
 // maxChunkBytes is the size of the largest chunk with its header and its end.
 const maxChunkBytes = copyBufferBytes + 16
 
-// framedConn is a connection to a server by way of a peer that frames its bytes.
-type framedConn struct {
+// chunkedConn is a connection to a server by way of a peer that sends its bytes in chunks.
+type chunkedConn struct {
 	net.Conn
 	buffer *bufio.Reader
 	chunks io.Reader
 }
 
-func newFramedConn(c net.Conn) *framedConn {
+func newChunkedConn(c net.Conn) *chunkedConn {
 	// The buffer holds a whole chunk, so that the end of a chunk is read with its
 	// bytes and a connection between two requests has nothing left to read.
 	buffer := bufio.NewReaderSize(c, maxChunkBytes)
-	return &framedConn{Conn: c, buffer: buffer, chunks: httputil.NewChunkedReader(buffer)}
+	return &chunkedConn{Conn: c, buffer: buffer, chunks: httputil.NewChunkedReader(buffer)}
 }
 
 // Read reads bytes of the server. It returns io.EOF only if the peer has stated that
 // the server's connection ended regularly.
-func (c *framedConn) Read(p []byte) (int, error) {
+func (c *chunkedConn) Read(p []byte) (int, error) {
 	n, err := c.chunks.Read(p)
 	if errors.Is(err, io.ErrUnexpectedEOF) {
 		err = unprovenEnd(c.Conn)
@@ -103,10 +109,10 @@
 }
 
 // Buffered returns the number of bytes that have been received and not read.
-func (c *framedConn) Buffered() int { return c.buffer.Buffered() }
+func (c *chunkedConn) Buffered() int { return c.buffer.Buffered() }
 
 // SyscallConn returns the connection to the peer.
-func (c *framedConn) SyscallConn() (syscall.RawConn, error) { return syscallConn(c.Conn) }
+func (c *chunkedConn) SyscallConn() (syscall.RawConn, error) { return syscallConn(c.Conn) }
 
 // unframedConn is a connection to a server by way of a peer of an older build, which
 // can't state how the server's connection ended.
--- a/internal/detour/framing_test.go
+++ b/internal/detour/framing_test.go
@@ -282,41 +282,57 @@
 	}
 }
 
-// Guards against an end of the framing other than the last chunk that looks like the
-// end of the server's connection: it is cut at each byte.
-func TestCutFramingHasNoEnd(t *testing.T) {
+// framedBytes returns what a peer sends for the body in a framing, in two writes.
+func framedBytes(t *testing.T, framing string) []byte {
+	t.Helper()
 	var framed bytes.Buffer
 	host, peer := net.Pipe()
-	w := newHostWriter(peer, true)
+	w := newHostWriter(peer, framing)
 	var group conc.WaitGroup
 	group.Go(func() { _, _ = framed.ReadFrom(host) })
-	_, err := io.WriteString(w, wholeBody[:5])
-	assert.NilError(t, err)
-	_, err = io.WriteString(w, wholeBody[5:])
-	assert.NilError(t, err)
+	for _, part := range []string{wholeBody[:5], wholeBody[5:]} {
+		_, err := io.WriteString(w, part)
+		assert.NilError(t, err)
+	}
 	assert.NilError(t, w.markEnd())
 	_ = peer.Close()
 	group.Wait()
+	return framed.Bytes()
+}
 
-	lastChunk := bytes.Index(framed.Bytes(), []byte("0\r\n\r\n")) + len("0\r\n")
-	for cut := range framed.Len() + 1 {
-		host, peer := net.Pipe()
-		group.Go(func() {
-			_, _ = peer.Write(framed.Bytes()[:cut])
-			_ = peer.Close()
-		})
-		data, err := io.ReadAll(newFramedConn(host))
-		if cut < lastChunk {
-			var unproven *unprovenEndError
-			assert.Assert(t, errors.As(err, &unproven), "cut at %d: %v", cut, err)
-			assert.Assert(t, strings.HasPrefix(wholeBody, string(data)))
-		} else {
-			assert.NilError(t, err)
-			assert.Equal(t, string(data), wholeBody)
+// Guards against an end of a framing other than its last frame or chunk that looks like the
+// end of the server's connection: it is cut at each byte.
+func TestCutFramingHasNoEnd(t *testing.T) {
+	for _, framing := range []string{framesFraming, chunkedFraming} {
+		framed := framedBytes(t, framing)
+		end := len(framed)
+		if framing == chunkedFraming {
+			end = bytes.Index(framed, []byte("0\r\n\r\n")) + len("0\r\n")
 		}
-		_ = host.Close()
+		var group conc.WaitGroup
+		for cut := range len(framed) + 1 {
+			host, peer := net.Pipe()
+			group.Go(func() {
+				_, _ = peer.Write(framed[:cut])
+				_ = peer.Close()
+			})
+			var c net.Conn = newFramedConn(host, func() {})
+			if framing == chunkedFraming {
+				c = newChunkedConn(host)
+			}
+			data, err := io.ReadAll(c)
+			if cut < end {
+				var unproven *unprovenEndError
+				assert.Assert(t, errors.As(err, &unproven), "%s cut at %d: %v", framing, cut, err)
+				assert.Assert(t, strings.HasPrefix(wholeBody, string(data)))
+			} else {
+				assert.NilError(t, err)
+				assert.Equal(t, string(data), wholeBody)
+			}
+			_ = host.Close()
+		}
+		group.Wait()
 	}
-	group.Wait()
 }
 
 // Guards against connections by way of a peer that carry one request each, because
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -7,7 +7,8 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -27,6 +28,9 @@
 	// are framed. Older builds neither send nor understand it.
 	framingHeader  = "Cassiasill-Framing"
 	chunkedFraming = "chunked"
+	framesFraming  = "frames"
+	// stoppingHeader is set in refusals by a host that stops.
+	stoppingHeader = "Cassiasill-Stopping"
 )
 
 // Server opens connections to servers for hosts that are cut off from them.
@@ -37,7 +41,19 @@
 	isServer func(address string) bool
 	onDetour func()
 	log      *zap.Logger
-	open     atomic.Int64
+
+	mu       sync.Mutex
+	open     int // detours that are open or being opened
+	carried  map[*carried]struct{}
+	stopping bool
+	ended    chan struct{} // closed when the server is stopping and no detour is open
+	notices  conc.WaitGroup
+}
+
+// carried is one connection that is being copied.
+type carried struct {
+	host, server net.Conn
+	writer       hostWriter
 }
 
 // maxOpen bounds the detours that are open at a time. Each takes two descriptors and 32 KiB.
@@ -46,7 +62,8 @@
 // NewServer returns a Server that connects only to addresses for which isServer
 // returns true. onDetour is called for each connection opened.
 func NewServer(tracker *Tracker, dial exchange.DialFunc, isServer func(address string) bool, onDetour func(), log *zap.Logger) *Server {
-	return &Server{tracker: tracker, dial: tracker.Observe(dial), isServer: isServer, onDetour: onDetour, log: log}
+	return &Server{tracker: tracker, dial: tracker.Observe(dial), isServer: isServer, onDetour: onDetour, log: log,
+		carried: make(map[*carried]struct{}), ended: make(chan struct{})}
 }
 
 // ServeHTTP opens a connection and copies bytes until one side ends.
@@ -63,11 +80,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer s.open.Add(-1)
-	if s.open.Add(1) > maxOpen {
+	if !s.begin(w) {
 		w.WriteHeader(http.StatusServiceUnavailable) // the other host asks the next one
 		return
 	}
+	defer s.end()
 	ctx, cancel := context.WithTimeout(r.Context(), exchange.DialTimeout)
 	defer cancel()
 	server, err := s.dial(ctx, "tcp", address)
@@ -87,18 +104,30 @@
 		return
 	}
 	s.onDetour()
-	framed := r.Header.Get(framingHeader) == chunkedFraming
-	if err := confirm(host, buffered.Reader, framed); err != nil {
+	framing := chooseFraming(r.Header.Values(framingHeader))
+	if err := confirm(host, buffered.Reader, framing); err != nil {
 		s.log.Debug("detour: connection not confirmed", zap.Error(err))
 		reset(host)
 		reset(server)
 		return
 	}
-	copyBoth(host, server, newHostWriter(host, framed))
+	c := &carried{host, server, newHostWriter(host, framing)}
+	defer s.track(c)()
+	copyBoth(host, server, c.writer)
+}
+
+// chooseFraming returns the newest of the framings that the host understands.
+func chooseFraming(offered []string) string {
+	for _, framing := range []string{framesFraming, chunkedFraming} {
+		if slices.Contains(offered, framing) {
+			return framing
+		}
+	}
+	return ""
 }
 
 // confirm tells the host that its connection now leads to the server.
-func confirm(host net.Conn, reader *bufio.Reader, framed bool) error {
+func confirm(host net.Conn, reader *bufio.Reader, framing string) error {
 	if reader.Buffered() > 0 {
 		return errors.New("the host sent bytes before the connection was confirmed")
 	}
@@ -106,8 +135,8 @@
 		return err
 	}
 	response := "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n"
-	if framed {
-		response += framingHeader + ": " + chunkedFraming + "\r\n"
+	if framing != "" {
+		response += framingHeader + ": " + framing + "\r\n"
 	}
 	_, err := io.WriteString(host, response+"\r\n")
 	return err
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -29,6 +29,7 @@
 type controlService struct {
 	options Options
 	node    *control.Node
+	detours *detour.Server
 	server  *http.Server
 }
 
@@ -53,7 +54,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(fleetpbconnect.NewFleetServiceHandler(s.node))
-	mux.Handle(detour.Path, detour.NewServer(s.options.Reach, s.options.Dial, s.isServer, s.options.Metrics.countServedDetour, s.options.Log.Named("detour")))
+	s.detours = detour.NewServer(s.options.Reach, s.options.Dial, s.isServer, s.options.Metrics.countServedDetour, s.options.Log.Named("detour"))
+	mux.Handle(detour.Path, s.detours)
 	s.server, listener = s.options.boundPeers(mux, listener)
 	registry.Go(nameControl+" server", func(context.Context) error {
 		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -70,7 +72,24 @@
 	return s.node.View().Load().TakesNewRequestsAt(address)
 }
 
-func (s *controlService) Stop(context.Context) error { return s.server.Close() }
+// BeginStop makes the host resign if it leads, and asks other hosts to leave the connections
+// that it carries for them.
+func (s *controlService) BeginStop() {
+	s.node.Retire()
+	s.detours.Stop()
+}
+
+// Stop waits for the connections that the host carries for others, which a former service's
+// stop has left, and ends the calls of other hosts.
+func (s *controlService) Stop(ctx context.Context) error {
+	return errors.Join(s.detours.Shutdown(ctx), s.server.Close())
+}
+
+// controlProvider is the part of controlService that entryService uses.
+type controlProvider interface {
+	Node() *control.Node
+	BeginStop()
+}
 
 // dispatchService chooses servers for requests: for this host's own, and for those
 // of all hosts to the services that the leader assigned to this host.
@@ -128,8 +147,10 @@
 	budget  *entry.RetryBudget
 	memory  *membudget.Budget
 	limits  *ratelimit.Table
-	node    *control.Node
-	servers *registry.List // the list last passed to limits
+	// controls and node are set by Start.
+	controls controlProvider
+	node     *control.Node
+	servers  *registry.List // the list last passed to limits
 	// reachList is the list last passed to the judgement about a cut.
 	reachList *registry.List
 	server    *entry.Server
@@ -141,7 +162,7 @@
 func (s *entryService) Requires() []string { return []string{nameControl, nameDispatch, nameAdmin} }
 
 func (s *entryService) Start(ctx context.Context, registry *kernel.Registry) error {
-	controls, err := kernel.Lookup[interface{ Node() *control.Node }](registry, nameControl)
+	controls, err := kernel.Lookup[controlProvider](registry, nameControl)
 	if err != nil {
 		return err
 	}
@@ -154,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	s.node = controls.Node()
+	s.controls, s.node = controls, controls.Node()
 	s.dialer = detour.NewDialer(s.options.Reach, s.options.Dial, s.node.DetourPeers, s.options.Metrics.countUsedDetour)
 	pools := entry.NewServerPools(&s.options.HeaderNames, s.dialer.Dial, local, central, s.metrics.CountConnection, s.options.Clock)
 	if s.memory != nil {
@@ -242,7 +263,7 @@
 func (s *entryService) Stop(ctx context.Context) error {
 	s.options.Log.Info("entry: stopping")
 	s.stopping.Store(true)
-	s.node.Retire()
+	s.controls.BeginStop()
 	defer s.dialer.Wait()
 	return s.server.Shutdown(ctx)
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -215,7 +215,7 @@
 	}
 	// An idle connection has no deadline: once one passes, the connection looks
 	// broken.
-	if !stop() || !complete || !c.reusable || c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	if !stop() || !complete || !c.reusable || c.isStopping() || c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		c.discard()
 		return result
 	}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -176,13 +176,14 @@
 	}
 }
 
-// CloseExpiredConns closes connections that have been idle for too long.
+// CloseExpiredConns closes connections that have been idle for too long, and those by way of
+// hosts that have ended them or are about to.
 func (p *Pool) CloseExpiredConns(now time.Time) {
 	p.mu.Lock()
 	var expired []*conn
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if now.Sub(c.idleSince) > c.idleTimeout {
+		if now.Sub(c.idleSince) > c.idleTimeout || c.isRelayed() && !c.hasNoPendingInput() {
 			expired = append(expired, c)
 			continue
 		}
@@ -214,6 +215,25 @@
 	p.CloseIdleConns()
 }
 
+// relayedConn is a connection to a server by way of another host.
+type relayedConn interface {
+	// Stopping reports whether the other host has said that it stops.
+	Stopping() bool
+}
+
+// isRelayed reports whether the connection leads to the server by way of another host that
+// says when it stops.
+func (c *conn) isRelayed() bool {
+	_, relayed := c.Conn.(relayedConn)
+	return relayed
+}
+
+// isStopping reports whether the host by way of which the connection leads is stopping.
+func (c *conn) isStopping() bool {
+	relayed, ok := c.Conn.(relayedConn)
+	return ok && relayed.Stopping()
+}
+
 // discard closes the connection. Its error is ignored, since the connection is not
 // used any more.
 func (c *conn) discard() { _ = c.Conn.Close() }
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -107,7 +107,7 @@
 	services    []Service
 }
 
-// New returns a kernel for services. Each service has stopTimeout to stop.
+// New returns a kernel for services. All of them together have stopTimeout to stop.
 func New(log *zap.Logger, stopTimeout time.Duration, services ...Service) *Kernel {
 	return &Kernel{log: log.Named("kernel"), stopTimeout: stopTimeout, services: services}
 }
@@ -154,13 +154,13 @@
 }
 
 func (k *Kernel) stop(ctx context.Context, started []Service) error {
+	ctx, cancel := context.WithTimeout(ctx, k.stopTimeout)
+	defer cancel()
 	var errs []error
 	for _, service := range slices.Backward(started) {
-		stopCtx, cancel := context.WithTimeout(ctx, k.stopTimeout)
-		if err := service.Stop(stopCtx); err != nil {
+		if err := service.Stop(ctx); err != nil {
 			errs = append(errs, &Error{Service: service.Name(), Step: "stop", Err: err})
 		}
-		cancel()
 		k.log.Debug("kernel: service stopped", zap.String("service", service.Name()))
 	}
 	return errors.Join(errs...)
