Reset a detour that is confirmed after the time to stop

A test of the stop hung in one of about 20 race runs: a connection for another host that was confirmed just when the time had passed was registered after the others had been reset, and stayed. In the product it would end with the process; the goroutines that copy it outlived Shutdown. Now it is reset when it is registered. TestLateDetourIsAborted fails without the change (the connection takes bytes); three race runs of the package pass.

--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -46,6 +46,7 @@
 	open     int // detours that are open or being opened
 	carried  map[*carried]struct{}
 	stopping bool
+	aborted  bool          // the time to stop has passed
 	ended    chan struct{} // closed when the server is stopping and no detour is open
 	notices  conc.WaitGroup
 }
--- a/internal/detour/stop.go
+++ b/internal/detour/stop.go
@@ -39,7 +39,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.carried[c] = struct{}{}
-	if s.stopping {
+	switch {
+	case s.aborted:
+		c.abort()
+	case s.stopping:
 		s.announceStop(c)
 	}
 	return func() {
@@ -92,9 +95,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.log.Warn("detour: connections for other hosts aborted at the end of the shutdown", zap.Int("connections", len(s.carried)))
+	s.aborted = true
 	for c := range s.carried {
-		reset(c.host)
-		reset(c.server)
+		c.abort()
 	}
 	return ctx.Err()
 }
+
+// abort resets both connections.
+func (c *carried) abort() {
+	reset(c.host)
+	reset(c.server)
+}
--- a/internal/detour/stop_test.go
+++ b/internal/detour/stop_test.go
@@ -144,6 +144,21 @@
 	assert.Assert(t, err != nil && !errors.Is(err, io.EOF), "the end looks regular")
 }
 
+// Guards against a connection that is confirmed just when the time to stop has passed, and stays.
+func TestLateDetourIsAborted(t *testing.T) {
+	s := NewServer(NewTracker(), exchange.Dial, func(string) bool { return true }, func() {}, zap.NewNop())
+	assert.Assert(t, s.begin(httptest.NewRecorder()))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, s.Shutdown(ctx), context.Canceled)
+	host, _ := net.Pipe()
+	server, _ := net.Pipe()
+	s.track(&carried{host, server, newHostWriter(host, framesFraming)})
+	_, err := host.Write([]byte("x"))
+	assert.ErrorIs(t, err, io.ErrClosedPipe)
+	s.end()
+}
+
 // Guards against hosts that find no path while several peers are being restarted.
 func TestStoppingPeersAreNoAttempts(t *testing.T) {
 	p := newPath(t, echo)
