Let a response by way of another host pass before the upload ends

A server may answer before it has read a long body, and end its bytes. If the request came by way of another host, that one closed the connection to the asking host with the upload unread, or reset it because the server took no more of the upload: the response was cut.

Change: the host that copies lingers on its connection to the asking host, like every other one, and a server that takes no more bytes ends the copy of the request only: how the response ends is seen by its own direction.

--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -149,30 +150,66 @@
 // no end mark, since HTTP frames the body of each.
 func copyBoth(host, server net.Conn, toHost hostWriter) {
 	var group conc.WaitGroup
-	group.Go(func() { copyUntilEnd(server, host, server, func() error { return nil }) })
-	group.Go(func() { copyUntilEnd(host, server, toHost, toHost.markEnd) })
+	group.Go(func() { copyRequests(server, host) })
+	group.Go(func() { copyResponses(host, server, toHost) })
 	group.Wait()
 }
 
 // copyBufferBytes is the buffer of one direction.
 const copyBufferBytes = 16 << 10
 
-// copyUntilEnd copies from source to target by way of writer. If source ends
-// regularly it calls markEnd. Then it closes both.
-func copyUntilEnd(target, source net.Conn, writer io.Writer, markEnd func() error) {
-	// The wrappers hide methods with which io would use buffers of its own.
-	_, err := io.CopyBuffer(struct{ io.Writer }{writer}, struct{ io.Reader }{source}, make([]byte, copyBufferBytes))
-	if err == nil {
-		err = markEnd()
+// copyBytes copies until the source ends. The wrappers hide methods with which io would use
+// buffers of its own.
+func copyBytes(target io.Writer, source io.Reader) error {
+	_, err := io.CopyBuffer(struct{ io.Writer }{target}, struct{ io.Reader }{source}, make([]byte, copyBufferBytes))
+	return err
+}
+
+// copyRequests copies what the host sends and closes the server's connection behind it. If
+// the server takes no more, its response may still be on the way: copyResponses sees how that
+// ends.
+func copyRequests(server, host net.Conn) {
+	refusal := &refusalWriter{Writer: server}
+	err := copyBytes(refusal, host)
+	if refusal.refused || errors.Is(err, os.ErrDeadlineExceeded) {
+		return // the latter is that of network.Linger
 	}
 	if err != nil {
-		reset(target)
-		reset(source)
+		reset(server)
+		reset(host)
 		return
 	}
 	// Errors are of connections that the other direction has closed.
-	_ = target.Close()
-	_ = source.Close()
+	_ = server.Close()
+	_ = host.Close()
+}
+
+// refusalWriter records that a write has failed.
+type refusalWriter struct {
+	io.Writer
+	refused bool
+}
+
+func (w *refusalWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	w.refused = err != nil
+	return n, err
+}
+
+// copyResponses copies what the server sends. The host may still be sending when the server
+// has ended, so its connection is closed once it has all.
+func copyResponses(host, server net.Conn, toHost hostWriter) {
+	err := copyBytes(toHost, server)
+	if err == nil {
+		err = toHost.markEnd()
+	}
+	if err != nil {
+		reset(host)
+		reset(server)
+		return
+	}
+	_ = server.Close() // fails only if the other direction has closed it
+	network.Linger(host)
 }
 
 // reset closes a connection so that its peer sees an error.
--- a/internal/detour/upload_test.go
+++ b/internal/detour/upload_test.go
@@ -1,8 +1,10 @@
 package detour
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -59,3 +61,40 @@
 		_, _ = io.Copy(io.Discard, c)
 	})
 }
+
+// Guards against a response that is cut by a reset on the way from the peer, because the
+// host's upload lies unread there when the server has answered and ended (as in review/8).
+func TestResponseDuringAnUploadPassesThePeer(t *testing.T) {
+	const bodyBytes = 200_000
+	server := serveConns(t, func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReaderSize(c, 16)); err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signature: s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, strings.Repeat("x", bodyBytes))
+		_ = c.CloseWrite()
+		time.Sleep(200 * time.Millisecond) // and reads on
+		_, _ = io.Copy(io.Discard, c)
+	})
+	peer := startPeerProcess(t)
+	dialer := dialerBy(peer.address)
+	defer dialer.Wait()
+	c, err := dialer.Dial(t.Context(), "tcp", server)
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	go func() {
+		_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", 10_000_000)
+		for {
+			if _, err := c.Write(make([]byte, 16<<10)); err != nil {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	time.Sleep(100 * time.Millisecond) // the host reads late
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err, "%d bytes", len(body))
+	assert.Equal(t, len(body), bodyBytes)
+}
