Reject waiting requests before the end of a stop

Cause: the dispatcher's queue knew only the request's own deadline, and a stop ended by closing connections first. Only requests that came later than 3 s after SIGTERM were judged by the end of the stop.

Change: each request that waits has an instant until which it may be passed on, the end of the stop less 250 ms and twice its expected work. When it has passed, the request is rejected as shutting-down, with Retry-After 10 ms, while its connection stands. Requests that are read during the stop have their deadline at the dispatcher cut, so that those that can't be placed in time are rejected at once. If an earlier attempt may have run, the answer is 502 as before, not a promise. What stood in handler.go about a stop moves to drain.go.

The case "early, may not finish" of TestStoppingHostTakesOnlyWhatItCanFinish had set the end of the stop to the instant of the request, which can't run any more; all cases have a timeout beyond the end now, and there is one more for the end itself.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -40,10 +40,6 @@
 	// endedOwnerRetryAfter is the Retry-After value if another server has the address of a
 	// key's owner, whose ranges are about to move.
 	endedOwnerRetryAfter = 500 * time.Millisecond
-	// lateDrainPeriod is how long after the begin of a planned stop the load balancer
-	// has removed the host. Requests then come on kept connections only, and their
-	// callers reach another host at once.
-	lateDrainPeriod = 3 * time.Second
 	// minRetryTimeFraction is the least time left for a retry, as a fraction of the
 	// expected work; with less time a retry cannot succeed.
 	minRetryTimeFraction = 0.5
@@ -83,7 +79,8 @@
 	splitOffset float64
 	costs       *costEstimator
 	holdOffs    *holdOffs
-	drain       atomic.Pointer[drainPeriod]
+	drain       atomic.Pointer[drainPeriod] // nil unless the host is stopping
+	waits       serverWaits
 	readAhead   readAhead
 }
 
@@ -96,24 +93,6 @@
 	return &Handler{Options: options, splitter: routes.NewSplitter(), splitOffset: rand.Float64(), costs: newCostEstimator(), holdOffs: newHoldOffs()}
 }
 
-// drainPeriod is the time from the begin of a planned stop to the end of the process.
-type drainPeriod struct{ since, end time.Time }
-
-// Drain makes the last response on each connection to a request that has been started
-// close it, and starts no requests before their turn. Late in the period, requests that
-// may not finish before its end are rejected.
-func (h *Handler) Drain(since, end time.Time) {
-	h.drain.Store(&drainPeriod{since, end})
-	h.readAhead.stop()
-}
-
-// mayOutlastDrain reports whether the request came late during a planned stop and
-// may take longer than the process lives.
-func (h *Handler) mayOutlastDrain(q *request) bool {
-	drain := h.drain.Load()
-	return drain != nil && q.started.Sub(drain.since) >= lateDrainPeriod && q.deadline.After(drain.end)
-}
-
 // forward sends the request to servers until one responds or no retry is allowed.
 func (h *Handler) forward(ctx context.Context, snapshot *control.Snapshot, q *request) (exchange.Result, *apierror.Error) {
 	for {
@@ -121,11 +100,11 @@
 			return exchange.Result{}, evacuatedError(q)
 		}
 		q.stage = h.waitingStage(q.service)
-		decision, ticket := h.Placer.Acquire(ctx, q.placement)
-		if ctx.Err() != nil {
-			if decision.Server != "" {
-				h.Placer.Release(ticket, dispatch.Result{Outcome: dispatch.Abandoned})
-			}
+		decision, ticket, err := h.acquire(ctx, q)
+		switch {
+		case errors.Is(err, errStopping):
+			return exchange.Result{}, stoppingError(q)
+		case err != nil:
 			return exchange.Result{}, apierror.New(apierror.KindCanceled, "the caller left while the request waited")
 		}
 		if decision.Server == "" && h.ServerPools.isEvacuated(q.service) {
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -295,13 +295,14 @@
 		drainingSince, end time.Time
 		want               int
 	}{
-		"late, may not finish":  {now.Add(-lateDrainPeriod), now, http.StatusServiceUnavailable},
+		"late, may not finish":  {now.Add(-lateDrainPeriod), now.Add(departureTimeout / 2), http.StatusServiceUnavailable},
+		"late, at the end":      {now.Add(-lateDrainPeriod), now, http.StatusServiceUnavailable},
 		"late, can finish":      {now.Add(-lateDrainPeriod), now.Add(time.Hour), http.StatusOK},
-		"early, may not finish": {now.Add(time.Hour), now, http.StatusOK}, // the load balancer still sends requests
+		"early, may not finish": {now, now.Add(departureTimeout / 2), http.StatusOK}, // the load balancer still sends requests
 	}
 	for name, c := range cases {
 		for _, path := range []string{"/safe/x", "/unsafe/x"} {
-			p := newTestHost(t, respondOK)
+			p := newTestHostWith(t, testHostOptions{timeout: departureTimeout}, respondOK)
 			p.handler.Drain(c.drainingSince, c.end)
 			status, body, header, err := p.do(t, http.MethodGet, path, "")
 			assert.NilError(t, err)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -40,6 +40,9 @@
 	heldBytes int64
 	// closesConn is true if an error response must close the caller's connection.
 	closesConn bool
+	// boundByDrain is true if the request must be placed earlier than by its own deadline,
+	// because the host is stopping.
+	boundByDrain bool
 	// heldOff is when the first server that wants no request yet will take one.
 	heldOff time.Duration
 }
@@ -120,6 +123,7 @@
 	if q.position == dispatch.NoPosition {
 		q.placement.Exclude, q.heldOff = h.holdOffs.active(q.service, started, h.ServerPools.isReplaced)
 	}
+	h.boundByDrain(q)
 	h.RetryBudget.CountRequest(q.service, started)
 	return q, nil
 }
