Stop all HTTP servers of a host in one order

A stop's order, "stop accepting, end what waits, finish, flush, close", stood in entry.Server alone. The servers for other hosts and operators had their bound without that order.

connlimit.Server holds it now, and callers, other hosts, operators and callers of the settings-driven host use it; the three ways to treat the end of a listener became one. No change for the callers of a platform host.

--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -145,8 +145,12 @@
 	}
 }
 
-// endPollInterval is how often Drain ends connections that wait for a request.
-const endPollInterval = 20 * time.Millisecond
+const (
+	// endPollInterval is how often Drain ends connections that wait for a request.
+	endPollInterval = 20 * time.Millisecond
+	// drainIdlePeriod is how long a connection may wait for a request during Shutdown.
+	drainIdlePeriod = time.Second
+)
 
 // Drain returns when no connection is open. It ends those that wait for a request for longer
 // than the limit, and waits for the others until ctx ends, whose error it returns then. No
--- a/internal/entry/responseprogress_test.go
+++ b/internal/entry/responseprogress_test.go
@@ -99,6 +99,6 @@
 		response, err := client.Do(r)
 		return err == nil && response.Body.Close() == nil && response.StatusCode == http.StatusOK && server.ConnCount() <= 2
 	})
-	assert.NilError(t, server.http.Close())
+	assert.NilError(t, server.server.Close())
 	assert.NilError(t, <-done)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -3,10 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,8 +30,8 @@
 	// connLimitStall is the time without a byte after which a body gives way to a new
 	// connection when the bound on connections is reached.
 	connLimitStall = time.Second
-	// shutdownStall is the time without a byte after which a connection or a body no
-	// longer delays the end of a shutdown.
+	// shutdownStall is the time without a byte after which a body no longer delays the end
+	// of a shutdown.
 	shutdownStall = time.Second
 	// defaultMaxHeaderBytes bounds the heads of requests while they are read. Many short
 	// fields take some ten times their size in memory.
@@ -43,22 +41,16 @@
 // Server accepts callers' connections.
 type Server struct {
 	handler *Handler
-	http    *http.Server
+	server  *connlimit.Server
 	log     *zap.Logger
-	conns   *connlimit.Limiter
-
-	mu        sync.Mutex
-	listeners []net.Listener
-	stopping  bool // no connections are accepted any more
 }
 
 // NewServer returns a Server that is not yet listening. At most maxConns connections are open
 // at a time; 0 sets no bound.
 func NewServer(handler *Handler, maxConns int) *Server {
 	s := &Server{handler: handler, log: handler.Log}
-	s.conns = connlimit.New(maxConns, s.onConnLimit)
-	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: cmp.Or(handler.CallerLimits.MaxHeaderBytes, defaultMaxHeaderBytes),
-		ConnState: s.conns.ConnState, ConnContext: network.ContextWithConn, ErrorLog: zap.NewStdLog(handler.Log)}
+	s.server = connlimit.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: cmp.Or(handler.CallerLimits.MaxHeaderBytes, defaultMaxHeaderBytes),
+		ConnContext: network.ContextWithConn, ErrorLog: zap.NewStdLog(handler.Log)}, maxConns, s.onConnLimit)
 	return s
 }
 
@@ -74,20 +66,11 @@
 }
 
 // ConnCount returns the number of open connections.
-func (s *Server) ConnCount() int { return s.conns.Count() }
+func (s *Server) ConnCount() int { return s.server.Conns().Count() }
 
 // Serve accepts connections until Shutdown is called.
 func (s *Server) Serve(listener net.Listener) error {
-	s.mu.Lock()
-	s.listeners = append(s.listeners, listener)
-	s.mu.Unlock()
-	err := s.http.Serve(s.handler.Listener(s.conns.Listener(listener)))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopping || errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
+	return s.server.Serve(listener, s.handler.Listener)
 }
 
 // CloseExpiredConns ends connections that have been idle for longer than the configuration
@@ -97,7 +80,7 @@
 	if config := s.handler.View.Load().Config; config != nil && config.Limits.IdleTimeout > 0 {
 		limit = time.Duration(float64(config.Limits.IdleTimeout) * idleTimeoutFactor)
 	}
-	s.conns.EndIdle(limit, now)
+	s.server.Conns().EndIdle(limit, now)
 }
 
 // Shutdown stops the server in one order for all connections: it keeps accepting for
@@ -117,26 +100,14 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	s.stopAccepting()
+	s.server.StopAccepting()
 	// Bodies that make no progress would last until the end of the period.
 	for now := time.Now(); s.handler.Budget.EvictStalled(shutdownStall, now); {
 	}
-	if err := s.conns.Drain(ctx, shutdownStall); err != nil {
-		s.log.Warn("entry: requests in flight aborted at the end of the shutdown", zap.Int("connections", s.conns.Count()),
-			zap.Int("pipelined", s.handler.readAhead.waitingCount()), zap.Error(err))
+	err := s.server.Shutdown(ctx)
+	if err != nil {
+		s.log.Warn("entry: requests in flight aborted at the end of the shutdown", zap.Int("pipelined", s.handler.readAhead.waitingCount()), zap.Error(err))
 	}
-	s.conns.Close()
-	err := s.http.Close()
 	s.handler.readAhead.group.Wait()
-	return err
-}
-
-// stopAccepting closes the listeners.
-func (s *Server) stopAccepting() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stopping = true
-	for _, l := range s.listeners {
-		_ = l.Close() // fails only if it is closed already
-	}
+	return nil
 }
--- a/internal/entryhost/callerlimits.go
+++ b/internal/entryhost/callerlimits.go
@@ -66,36 +66,19 @@
 	o.limitEvents.Reached(entry.LimitPeerConnections, "limits.maxDescriptors")
 }
 
-// boundServer is an HTTP server with a bound on its connections.
-type boundServer struct {
-	*http.Server
-	conns *connlimit.Limiter
-}
-
-// Close closes all connections.
-func (s *boundServer) Close() error {
-	s.conns.Close()
-	return s.Server.Close()
-}
-
-// boundPeers returns the server for other hosts and the listener that it must use.
-func (o *Options) boundPeers(handler http.Handler, l net.Listener) (*boundServer, net.Listener) {
-	limiter := connlimit.New(o.MaxPeerConns, func(bool) { o.countPeerLimit() })
+// boundPeers returns the server for other hosts.
+func (o *Options) boundPeers(handler http.Handler) *connlimit.Server {
 	if memory := o.Callers.MemoryBytes / peerMemoryDivisor; memory > 0 {
 		handler = entry.BoundBodies(handler, membudget.New(memory, memory/reserveDivisor), o.Callers.Limits, maxPeerBodyBytes)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxInternalHeaderBytes, ConnState: limiter.ConnState,
-		ConnContext: network.ContextWithConn, ErrorLog: zap.NewStdLog(o.Log)}
-	return &boundServer{server, limiter}, limiter.Listener(l)
+	return connlimit.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxInternalHeaderBytes,
+		ConnContext: network.ContextWithConn, ErrorLog: zap.NewStdLog(o.Log)}, o.MaxPeerConns, func(bool) { o.countPeerLimit() })
 }
 
-// boundAdmin returns the server of the readiness or the metrics port and the listener that it
-// must use.
-func (o *Options) boundAdmin(handler http.Handler, l net.Listener) (*boundServer, net.Listener) {
-	limiter := connlimit.New(maxAdminConns, func(bool) { o.limitEvents.Reached(entry.LimitAdminConnections, "none") })
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout, MaxHeaderBytes: maxInternalHeaderBytes,
-		ConnState: limiter.ConnState, ErrorLog: zap.NewStdLog(o.Log)}
-	return &boundServer{server, limiter}, limiter.Listener(l)
+// boundAdmin returns the server of the readiness or the metrics port.
+func (o *Options) boundAdmin(handler http.Handler) *connlimit.Server {
+	return connlimit.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: time.Second, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout, MaxHeaderBytes: maxInternalHeaderBytes,
+		ErrorLog: zap.NewStdLog(o.Log)}, maxAdminConns, func(bool) { o.limitEvents.Reached(entry.LimitAdminConnections, "none") })
 }
 
 // registerCallerGauges registers gauges of the byte budget and of the callers' connections.
--- a/internal/entryhost/services.go
+++ b/internal/entryhost/services.go
@@ -30,7 +30,7 @@
 	options Options
 	node    *control.Node
 	detours *detour.Server
-	server  *boundServer
+	server  *connlimit.Server
 }
 
 func newControlService(options Options, limits *ratelimit.Table) *controlService {
@@ -56,13 +56,8 @@
 	mux.Handle(fleetpbconnect.NewFleetServiceHandler(s.node))
 	s.detours = detour.NewServer(s.options.Reach, s.options.Dial, s.isServer, s.options.Metrics.countServedDetour, s.options.Log.Named("detour"))
 	mux.Handle(detour.Path, s.detours)
-	s.server, listener = s.options.boundPeers(mux, listener)
-	registry.Go(nameControl+" server", func(context.Context) error {
-		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	s.server = s.options.boundPeers(mux)
+	registry.Go(nameControl+" server", func(context.Context) error { return s.server.Serve(listener, nil) })
 	registry.Go(nameControl, s.node.Run)
 	return nil
 }
@@ -273,7 +268,7 @@
 	options Options
 	metrics *telemetry.Metrics
 	ready   atomic.Pointer[func() bool]
-	servers []*boundServer
+	servers []*connlimit.Server
 }
 
 func (s *adminService) Name() string       { return nameAdmin }
@@ -300,14 +295,9 @@
 		if err != nil {
 			return err
 		}
-		server, listener := s.options.boundAdmin(handler, listener)
+		server := s.options.boundAdmin(handler)
 		s.servers = append(s.servers, server)
-		registry.Go(nameAdmin, func(context.Context) error {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				return err
-			}
-			return nil
-		})
+		registry.Go(nameAdmin, func(context.Context) error { return server.Serve(listener, nil) })
 	}
 	return nil
 }
--- a/internal/host/callers.go
+++ b/internal/host/callers.go
@@ -13,6 +13,7 @@
 
 	"github.com/cassiasill/cassiasill/internal/admission"
 	"github.com/cassiasill/cassiasill/internal/apierror"
+	"github.com/cassiasill/cassiasill/internal/connlimit"
 	"github.com/cassiasill/cassiasill/internal/idempotency"
 	"github.com/cassiasill/cassiasill/internal/kernel"
 	"github.com/cassiasill/cassiasill/internal/pause"
@@ -42,7 +43,7 @@
 	host        *Host
 	admission   *admission.Controller
 	handler     *proxy.Handler
-	server      *http.Server
+	server      *connlimit.Server
 	draining    atomic.Bool
 	lastArrival atomic.Int64 // Unix nanoseconds of the newest request while draining
 }
@@ -144,9 +145,10 @@
 	if wrap := c.host.options.WrapCallers; wrap != nil {
 		handler = wrap(handler)
 	}
-	c.server = c.handler.NewServer()
-	c.server.Handler = handler
-	registry.Go(c.Name(), func(context.Context) error { return serve(c.server, listener) })
+	server := c.handler.NewServer()
+	server.Handler = handler
+	c.server = connlimit.NewServer(server, 0, func(bool) {})
+	registry.Go(c.Name(), func(context.Context) error { return c.server.Serve(listener, nil) })
 	c.updateHostCount()
 	registry.Every(c.Name(), hostCountInterval, c.updateHostCount)
 	c.host.log.Info("proxy: serving callers", zap.String("address", listener.Addr().String()))
