List the servers after a poll without an answer

One way to that, shown on the virtual clock: while watches hear nothing, a server that comes or leaves is never known, at no host (TestServersAreKnownInTime, watches silent, 12 and 59 hosts: not within 10 s).

Cause: the poll of the servers hung until the client's time limit of 1.1 s and was repeated for ever, though listings were answered.

Change: a poll ends 0.5 s after its wait, and the next read after one without an answer is a listing. A store that is away gets as many calls as before.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -65,6 +65,9 @@
 	// revision is the store revision up to which entries is current; 0 before
 	// the first listing.
 	revision int64
+	// silent is true if the last poll got no answer in time. The watch may hear nothing
+	// while listings are answered.
+	silent bool
 }
 
 // seed replaces the entries with a list that another host has read at the given
@@ -112,8 +115,8 @@
 
 // read brings the entries up to date.
 func (r *serverReader) read(ctx context.Context, n *Node) error {
-	if r.revision > 0 {
-		batch, err := n.Store.Poll(ctx, n.Schema.ServersPrefix, r.revision, entriesPollWait)
+	if r.revision > 0 && !r.silent {
+		batch, err := n.pollServers(ctx, r.revision)
 		if err == nil {
 			for _, event := range batch.Events {
 				if event.Deleted {
@@ -125,6 +128,7 @@
 			r.revision = max(r.revision, batch.Revision)
 			return nil
 		}
+		r.silent = errors.Is(err, context.DeadlineExceeded)
 		var storeErr *store.Error
 		if !errors.As(err, &storeErr) || storeErr.Kind != store.KindCompacted {
 			return err
@@ -132,6 +136,7 @@
 		n.Log.Info("control: history of the server entries is compacted; listing them", zap.Int64("revision", r.revision))
 		r.revision = 0
 	}
+	r.silent = false // the poll is tried again if this fails
 	items, revision, err := n.Store.Range(ctx, n.Schema.ServersPrefix)
 	if err != nil {
 		return err
@@ -156,6 +161,13 @@
 	return nil
 }
 
+// pollServers returns the changes of the server entries after a revision.
+func (n *Node) pollServers(ctx context.Context, after int64) (store.WatchBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, entriesPollWait+entriesPollGrace)
+	defer cancel()
+	return n.Store.Poll(ctx, n.Schema.ServersPrefix, after, entriesPollWait)
+}
+
 // maxInvalidEntries bounds the invalid entries that a host remembers. Others are
 // ignored without a line in the log.
 const maxInvalidEntries = 1000
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -43,6 +43,8 @@
 	// entriesPollWait is how long one poll waits for a change of the server
 	// entries. Each server updates its entry about once a second.
 	entriesPollWait = 100 * time.Millisecond
+	// entriesPollGrace is how much later its answer may come.
+	entriesPollGrace = 500 * time.Millisecond
 	// relaySearchTimeout is how long a host that lost the leader asks the
 	// relays for another before it searches the store. An election takes about
 	// LeaseTTL.
