Search the store when no relay answers

Cause: a host that is no relay asks relays for 4 s before it reads the store, also if none of them answers, and asks silent ones again at random for 0.25 s each.

Change: it searches the store after 0.8 s without any answer of a relay, and reads the servers before it takes part in an election. Relays that did not answer are asked last for 2 s, for the configuration, too.

--- a/internal/control/configage.go
+++ b/internal/control/configage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -88,7 +87,7 @@
 	if len(relays) == 0 {
 		return false
 	}
-	rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
+	n.shuffleForQuery(relays)
 	answered := n.requestConfig(ctx, relays[0], firstConfigPeerTimeout)
 	if answered && n.Clock().Sub(n.view.Load().ConfigConfirmedAt) < maxRelayConfigAge {
 		return true
@@ -126,6 +125,7 @@
 	client := n.fleetClient(address)
 	sentAt := n.Clock()
 	response, err := client.Sync(ctx, connect.NewRequest(request))
+	n.recordAnswer(address, err == nil)
 	if err != nil {
 		n.Log.Debug("control: relay does not answer", zap.String("peer", address), zap.Error(err))
 		return false
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -22,7 +22,7 @@
 		if err == nil {
 			// A leader that does not reach the store can't lead. If the list is
 			// stale, its key may have expired; then findLeader campaigns.
-			switch stale := n.Clock().Sub(n.view.Load().ServersConfirmedAt) > staleAfter; {
+			switch stale := n.serversAge() > staleAfter; {
 			case stale && n.isRelay():
 				if n.readEntries(ctx) {
 					n.findLeader(ctx)
@@ -44,6 +44,10 @@
 		}
 	}
 	if n.maySearchStore() {
+		if !n.isRelay() && n.view.Load().Servers != nil && n.serversAge() > staleAfter {
+			// No relay can tell what has changed, and an election takes longer.
+			n.readEntries(ctx)
+		}
 		if !n.findLeader(ctx) {
 			n.queryPeers(ctx)
 		}
@@ -61,11 +65,14 @@
 	// Without this delay a host that finds no leader would call the store in a
 	// tight loop.
 	n.sleep(ctx, noLeaderDelay)
-	if n.Clock().Sub(n.view.Load().ServersConfirmedAt) > minReadInterval && n.mayListServers() {
+	if n.serversAge() > minReadInterval && n.mayListServers() {
 		n.readEntries(ctx)
 	}
 }
 
+// serversAge returns the time since the store last confirmed the server list.
+func (n *Node) serversAge() time.Duration { return n.Clock().Sub(n.view.Load().ServersConfirmedAt) }
+
 // errNotLeading reports that the queried host no longer leads.
 var errNotLeading = errors.New("the host does not lead")
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -49,6 +49,10 @@
 	// relays for another before it searches the store. An election takes about
 	// LeaseTTL.
 	relaySearchTimeout = 4 * time.Second
+	// silentRelaysTimeout is how long it asks relays of which none answers.
+	silentRelaysTimeout = 800 * time.Millisecond
+	// relayAvoidance is how long a host that did not answer is asked last.
+	relayAvoidance = 2 * time.Second
 	// initialLeaderWait is how long a host in a deployment that never had a
 	// leader waits before it lists the servers itself.
 	initialLeaderWait = 1500 * time.Millisecond
@@ -122,6 +126,10 @@
 	// leaderLostAt.
 	unreachableTerm int64
 	leaderLostAt    boottime.Instant
+	// relayAnsweredAt is when a relay last answered a query, and silentSince when a host was
+	// last found not to answer, by address.
+	relayAnsweredAt boottime.Instant
+	silentSince     map[string]boottime.Instant
 	startedAt       boottime.Instant
 	knownVersions   *fleetpb.Known // from the leader's last response
 	// leaderList is the last server list that a leader sent.
@@ -188,7 +196,7 @@
 	if options.RateLimits == nil {
 		options.RateLimits = ratelimit.NewTable(options.Clock, options.Log)
 	}
-	n := &Node{Options: options, view: NewView(), history: newHistory(), tracker: registry.NewTracker(), storeReachable: true, storeEra: store.FirstEra, serversEra: store.FirstEra, committed: make(map[string]*shards.Assignment), invalidEntries: make(map[string]bool), startedAt: options.Clock(),
+	n := &Node{Options: options, view: NewView(), history: newHistory(), tracker: registry.NewTracker(), storeReachable: true, storeEra: store.FirstEra, serversEra: store.FirstEra, committed: make(map[string]*shards.Assignment), invalidEntries: make(map[string]bool), silentSince: make(map[string]boottime.Instant), startedAt: options.Clock(),
 		timing: timing{storeOutageTolerance: storeOutageTolerance, formerLeaderWait: storeOutageTolerance, grantExpiry: grantExpiry}}
 	n.view.OnChange(n.history.record)
 	return n
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"github.com/cassiasill/cassiasill/internal/boottime"
 	"github.com/cassiasill/cassiasill/internal/control/fleetpb"
 )
 
@@ -26,15 +28,19 @@
 	n.mu.Lock()
 	relays, seeds := slices.Clone(n.relays), slices.Clone(n.Seeds)
 	n.mu.Unlock()
-	if !n.queryHosts(ctx, relays, maxQueriedPeers) {
-		n.queryHosts(ctx, seeds, maxQueriedPeers)
+	if n.queryHosts(ctx, relays, maxQueriedPeers) {
+		n.mu.Lock()
+		n.relayAnsweredAt = n.Clock()
+		n.mu.Unlock()
+		return
 	}
+	n.queryHosts(ctx, seeds, maxQueriedPeers)
 }
 
-// queryHosts queries up to count of the hosts, in random order, and reports
-// whether any has responded.
+// queryHosts queries up to count of the hosts, in random order but last those that have
+// not responded lately, and reports whether any has responded.
 func (n *Node) queryHosts(ctx context.Context, addresses []string, count int) bool {
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	n.shuffleForQuery(addresses)
 	responded := false
 	for _, address := range addresses {
 		if address == n.Address {
@@ -49,6 +55,34 @@
 	return responded
 }
 
+// shuffleForQuery puts addresses of hosts in a random order, but last those that have not
+// answered a query lately.
+func (n *Node) shuffleForQuery(addresses []string) {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock()
+	maps.DeleteFunc(n.silentSince, func(_ string, since boottime.Instant) bool { return now.Sub(since) > relayAvoidance })
+	rank := func(address string) int {
+		if _, silent := n.silentSince[address]; silent {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(addresses, func(a, b string) int { return rank(a) - rank(b) })
+}
+
+// recordAnswer records whether a host has answered a query.
+func (n *Node) recordAnswer(address string, answered bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if answered {
+		delete(n.silentSince, address)
+		return
+	}
+	n.silentSince[address] = n.Clock()
+}
+
 // queryPeer queries one host, applies the state that it returns and records the
 // leader that it knows. It reports whether the host has responded.
 func (n *Node) queryPeer(ctx context.Context, address string) bool {
@@ -74,6 +108,7 @@
 	client := n.fleetClient(address)
 	sentAt := n.Clock()
 	response, err := client.Sync(ctx, connect.NewRequest(request))
+	n.recordAnswer(address, err == nil)
 	if err != nil {
 		n.Log.Debug("control: peer does not answer", zap.String("peer", address), zap.Error(err))
 		return nil
--- a/internal/control/search.go
+++ b/internal/control/search.go
@@ -61,7 +61,8 @@
 
 // maySearchStore reports whether this host searches the store for a leader. The
 // relays do so at once. The others query the relays first, since the load on
-// the store would otherwise grow with the number of hosts. A host that has just
+// the store would otherwise grow with the number of hosts, but not for long if no
+// relay answers: it may be lost together with the leader. A host that has just
 // started knows no relays and searches the store, which also holds the list of
 // relays. Querying the seeds first would delay the recovery after a power
 // failure, as all of them may be gone; callers wait for that long.
@@ -73,7 +74,9 @@
 
 // maySearchStoreLocked is maySearchStore for callers that hold mu.
 func (n *Node) maySearchStoreLocked() bool {
-	return len(n.relays) == 0 || slices.Contains(n.relays, n.Address) || n.Clock().Sub(n.leaderLostAt) > relaySearchTimeout
+	searched := n.Clock().Sub(n.leaderLostAt)
+	relaysAreSilent := searched > silentRelaysTimeout && n.relayAnsweredAt < n.leaderLostAt
+	return len(n.relays) == 0 || slices.Contains(n.relays, n.Address) || relaysAreSilent || searched > relaySearchTimeout
 }
 
 // knowsLeader reports whether a leader is known that has not been found
