--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -20,7 +20,7 @@
 	"github.com/cassiasill/cassiasill/internal/topology"
 )
 
-// stopTimeout bounds the time that each service may take to stop; finishing the
+// stopTimeout bounds the time that all services together may take to stop; finishing the
 // requests in flight takes longest.
 const stopTimeout = 30 * time.Second
 
