Do not fail a stop because its listener is closed already

TestServerShutdown failed in the last read, "use of closed network connection": if no connection was open, http.Server.Close met the listener that StopAccepting had closed and Serve had not yet let go of. So could end cassiasill serve with an error, and a platform host could log that it aborted requests. That error of the listener is none now.

--- a/internal/connlimit/server.go
+++ b/internal/connlimit/server.go
@@ -75,5 +75,8 @@
 // Close closes all connections at once.
 func (s *Server) Close() error {
 	s.conns.Close()
-	return s.http.Close()
+	if err := s.http.Close(); !errors.Is(err, net.ErrClosed) { // by StopAccepting
+		return err
+	}
+	return nil
 }
--- a/internal/connlimit/server_test.go
+++ b/internal/connlimit/server_test.go
@@ -56,3 +56,27 @@
 		assert.Assert(t, err != nil, "%s: the server still accepts", name)
 	}
 }
+
+// slowListener takes its time to notice that it is closed.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return c, err
+}
+
+// Guards against a stop that fails because its listener is closed already: a process would end
+// with exit status 1.
+func TestShutdownWithoutConnectionsSucceeds(t *testing.T) {
+	server := NewServer(&http.Server{}, 0, func(bool) {})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(slowListener{listener}, nil) }()
+	time.Sleep(50 * time.Millisecond) // until it accepts
+	assert.NilError(t, server.Shutdown(t.Context()))
+	assert.NilError(t, <-ended)
+}
