Peek at unread input in one place

network.HasUnread had written again what exchange's pool does before it uses an idle connection. They differed in what an error means; a connection that has failed counts as unread in both now, as in the pool before, so the pool is unchanged. For connlimit such a connection is left to its reader, which sees the error.

Race runs of network, exchange and detour pass, and the tests of connlimit on ending connections.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -247,22 +247,7 @@
 	if framed, ok := c.Conn.(interface{ Buffered() int }); ok && framed.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noInput := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noInput = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && noInput
+	return !network.HasUnread(c.Conn)
 }
 
 // hasRefused reports whether the server refused an earlier attempt of this request
--- a/internal/network/callerconn.go
+++ b/internal/network/callerconn.go
@@ -47,8 +47,9 @@
 	return info.Bytes_acked, info.Unacked > 0 || info.Notsent_bytes > 0, nil
 }
 
-// HasUnread reports whether bytes of the peer wait to be read, or the end of its bytes. It
-// reports false for a connection that is not of the operating system.
+// HasUnread reports whether a Read would return at once: bytes of the peer wait, or the end or
+// the failure of the connection. It reports false for a connection that is not of the operating
+// system.
 func HasUnread(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
@@ -56,15 +57,15 @@
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return true
 	}
-	unread := false
+	empty := false
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		unread = err == nil
+		empty = err == unix.EAGAIN
 	})
-	return err == nil && unread
+	return err != nil || !empty
 }
 
 func tcpInfo(c syscall.RawConn) (info *unix.TCPInfo, err error) {
